--- /dev/null
+++ b/app/src/catkinknot/app/__main__.py
@@ -0,0 +1,6 @@
+"""Start the command line with ``python -m catkinknot.app``."""
+
+from ._cli import main
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/app/src/catkinknot/app/_compose.py
@@ -0,0 +1,265 @@
+"""Wire the parts of one instance together."""
+
+import threading
+import uuid
+from collections.abc import Callable, Iterator
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from catkinknot.journal import EventRing, LogicalClock, Metrics, ServiceWindow, part_logger
+from catkinknot.membership import HttpListing, Keeper, Listing, MembershipView
+from catkinknot.model import Clock, Settings, SystemClock
+from catkinknot.peers import load_peer_keys, open_node
+from catkinknot.platformlog import (
+    Appender,
+    Applied,
+    ConfigPublished,
+    HttpLogClient,
+    LogClient,
+    LogReader,
+    ZoneClaimed,
+)
+
+from ._claims import LogClaims
+from ._config_book import ConfigBook
+from ._config_desk import ConfigDesk
+from ._desk import JobDesk
+from ._duties import Duties
+from ._messages import MessageCodec
+from ._peer_desk import PeerDesk
+from ._servers import ClientBook, Connect, connect_http
+from ._status import StatusDesk
+from ._tools import Tools
+from ._zone import ZoneOffice
+
+__all__ = ["Instance", "Outside", "open_instance"]
+
+_WORKERS = 24
+_CLOSE_APPENDS_S = 5.0
+
+log = part_logger("main")
+
+
+@dataclass(frozen=True)
+class Outside:
+    """Name the systems outside, so that tests can put fakes in their place.
+
+    Attributes:
+        log: The platform's log.
+        listing: The platform's list of instances.
+        connect: Connects to a backend server.
+        clock: Where time comes from.
+    """
+
+    log: LogClient
+    listing: Listing
+    connect: Connect = connect_http
+    clock: Clock = field(default_factory=SystemClock)
+
+
+@dataclass(frozen=True)
+class Instance:
+    """Hold the parts of a running instance that its front needs.
+
+    Attributes:
+        settings: Its settings.
+        tools: The shared parts.
+        jobs: Takes callers' requests.
+        configs: Takes operators' configurations.
+        status: Answers operators.
+        duties: Does the periodic work.
+        keeper: Decides about this zone.
+        office: This instance's own zone.
+        token: The operators' token, empty for none.
+    """
+
+    settings: Settings
+    tools: Tools
+    jobs: JobDesk
+    configs: ConfigDesk
+    status: StatusDesk
+    duties: Duties
+    keeper: Keeper
+    office: ZoneOffice
+    token: str
+
+    def ready(self) -> bool:
+        """Tell whether callers should be sent here."""
+        return self.tools.book.present() is not None and not self.duties.leaving
+
+    def leave(self) -> None:
+        """Take no new work from now on and let another instance have the zone."""
+        self.tools.ring.add("main", "instance.leaving")
+        self.duties.leave()
+        self.keeper.leave()
+
+    def quiet(self) -> bool:
+        """Tell whether nothing is left that only this instance can finish."""
+        return self.office.holding() is None or not self.office.busy()
+
+
+def outside_of(settings: Settings) -> Outside:
+    """Connect to the systems that the settings name."""
+    return Outside(HttpLogClient(settings.log), HttpListing(settings.instance_list))
+
+
+@contextmanager
+def open_instance(settings: Settings, outside: Outside) -> Iterator[Instance]:
+    """Run all parts of an instance but its front while the block runs.
+
+    Args:
+        settings: The checked settings.
+        outside: The systems outside.
+
+    Yields:
+        The instance.
+    """
+    with ThreadPoolExecutor(_WORKERS, thread_name_prefix="worker") as pool:
+        tools = _tools(settings, outside, pool)
+        view = MembershipView(settings.instance, settings.zone, clock=outside.clock)
+        office = ZoneOffice(tools, view)
+        keeper = Keeper(
+            tools.holder,
+            view,
+            LogClaims(tools),
+            zone=settings.zone,
+            clock=outside.clock,
+            changed=office.changed,
+        )
+        office.on_deposed(keeper.deposed)
+        peer_desk = PeerDesk(tools, view, office)
+        keys = load_peer_keys(settings.keys.peer_secret)
+        stamp = tools.ring.clock
+        with open_node(
+            settings.instance,
+            str(settings.peer),
+            MessageCodec(),
+            peer_desk.handle,
+            keys=keys,
+            stamp=stamp,
+            clock=outside.clock,
+        ) as node:
+            window = ServiceWindow(clock=outside.clock)
+            duties = Duties(tools, outside.listing, view, keeper, office, node)
+            status = StatusDesk(tools, view, office, node, window, duties)
+            peer_desk.status = status
+            instance = Instance(
+                settings,
+                tools,
+                JobDesk(tools, view, office, node, window),
+                ConfigDesk(tools, view),
+                status,
+                duties,
+                keeper,
+                office,
+                _token(settings),
+            )
+            _listen(tools, office)
+            tools.reader.start()
+            tools.appender.start()
+            duties.start()
+            try:
+                yield instance
+            finally:
+                duties.close()
+                keeper.release()
+                tools.appender.close(_CLOSE_APPENDS_S)
+                tools.reader.close()
+
+
+def _tools(settings: Settings, outside: Outside, pool: ThreadPoolExecutor) -> Tools:
+    """Build the shared parts."""
+    boot = uuid.uuid4().hex[:8]
+    appender = Appender(outside.log, f"{settings.instance}:{boot}", clock=outside.clock)
+    ring = EventRing(settings.instance, LogicalClock(clock=outside.clock))
+    return Tools(
+        instance=settings.instance,
+        boot=boot,
+        zone=settings.zone,
+        book=ConfigBook(),
+        reader=LogReader(outside.log, clock=outside.clock),
+        appender=appender,
+        clients=ClientBook(outside.connect),
+        ring=ring,
+        metrics=Metrics(),
+        clock=outside.clock,
+        spawn=_guarded_spawn(pool),
+    )
+
+
+def _guarded_spawn(pool: ThreadPoolExecutor) -> Callable[..., None]:
+    """Return a function that runs others on the pool and reports their faults."""
+
+    def guarded(function: Callable, *args) -> None:
+        """Run a function and log what it raises."""
+        try:
+            function(*args)
+        except Exception:
+            # Nobody waits for the result, so the log is the only place for it.
+            log.exception("A background step failed.")
+
+    def spawn(function: Callable, *args) -> None:
+        """Run a function on another thread."""
+        try:
+            pool.submit(guarded, function, *args)
+        except RuntimeError:
+            log.debug("A step was dropped, as the instance is closing.")
+
+    return spawn
+
+
+def _listen(tools: Tools, office: ZoneOffice) -> None:
+    """Bring what the log says to the parts that act on it."""
+    tools.book.listen(office.configured)
+    tools.book.listen(lambda present: _note_config(tools, present.version))
+
+    def applied(item: Applied) -> None:
+        """Take one record of the log."""
+        if item.entry.writer == tools.holder:
+            tools.appender.seen(item.entry.seq, item.verdict)
+        _note_record(tools, item)
+        office.log_applied(item)
+
+    tools.reader.listen(applied)
+    threading.Thread(
+        target=_follow_config, args=(tools,), name="config-follower", daemon=True
+    ).start()
+
+
+def _follow_config(tools: Tools) -> None:
+    """Put the log's newest configuration in force, from a snapshot too."""
+    while not tools.reader.closed:
+        version = tools.book.version()
+        tools.reader.wait_for(
+            lambda state, known=version: state.config is not None and state.config.version > known,
+            1.0,
+        )
+        with tools.reader.state() as state:
+            newest = state.config
+        if newest is not None:
+            tools.book.offer(newest.version, newest.config)
+
+
+def _note_config(tools: Tools, version: int) -> None:
+    """Add a configuration change to the time line."""
+    tools.ring.add("config", "config.in_force", f"version {version}", offset=version - 1)
+    log.info("Configuration version {} is in force.", version)
+
+
+def _note_record(tools: Tools, item: Applied) -> None:
+    """Add notable records to the time line."""
+    offset = item.entry.offset
+    match item.record:
+        case None:
+            tools.ring.add("log", "record.corrupt", item.verdict.message, offset=offset)
+            log.error("Record {} on the log is corrupt and was passed over.", offset)
+        case ConfigPublished() | ZoneClaimed() if not item.verdict.ok:
+            tools.ring.add("log", "record.refused", item.verdict.message, offset=offset)
+
+
+def _token(settings: Settings) -> str:
+    """Read the operators' token."""
+    name = settings.keys.operator_token
+    return Path(name).read_text().strip() if name else ""
--- /dev/null
+++ b/app/src/catkinknot/app/_config_book.py
@@ -0,0 +1,57 @@
+"""Hold the newest configuration, wherever it came from."""
+
+import threading
+from collections.abc import Callable
+
+from catkinknot.model import Configuration
+from catkinknot.platformlog import ConfigInForce
+
+__all__ = ["ConfigBook"]
+
+
+class ConfigBook:
+    """Put configurations in force in the order of their versions.
+
+    A version follows from the log offset of its record, so a higher one is
+    always newer, whether it came from the log or from a peer. A lower one is
+    never put in force.
+    """
+
+    def __init__(self) -> None:
+        """Start without a configuration."""
+        self._lock = threading.Lock()
+        self._present: ConfigInForce | None = None
+        self._listeners: list[Callable[[ConfigInForce], None]] = []
+
+    def listen(self, listener: Callable[[ConfigInForce], None]) -> None:
+        """Call a function whenever another configuration is in force."""
+        self._listeners.append(listener)
+
+    def present(self) -> ConfigInForce | None:
+        """Return the configuration in force, or None."""
+        with self._lock:
+            return self._present
+
+    def version(self) -> int:
+        """Return the version in force, 0 for none."""
+        with self._lock:
+            return 0 if self._present is None else self._present.version
+
+    def offer(self, version: int, config: Configuration) -> bool:
+        """Put a configuration in force if it is newer.
+
+        Args:
+            version: Its version.
+            config: The configuration.
+
+        Returns:
+            Whether it is in force now because of this call.
+        """
+        with self._lock:
+            if self._present is not None and version <= self._present.version:
+                return False
+            self._present = ConfigInForce(version, config)
+            present = self._present
+        for listener in self._listeners:
+            listener(present)
+        return True
--- /dev/null
+++ b/app/src/catkinknot/app/_config_desk.py
@@ -0,0 +1,103 @@
+"""Publish configurations for operators."""
+
+from catkinknot.membership import MembershipView
+from catkinknot.model import Configuration, ResultCode, Zone
+from catkinknot.model.exceptions import BadInputError, CatkinknotError, ConfigConflictError
+from catkinknot.placement import Room, unpacked_shapes
+from catkinknot.platformlog import ConfigInForce, ConfigPublished
+from catkinknot.platformlog.exceptions import AppendUnknownError, NotAppendedError
+
+from ._tools import Tools
+
+__all__ = ["ConfigDesk", "fleet_faults"]
+
+_PUBLISH_WAIT_S = 5.0
+
+
+class ConfigDesk:
+    """Check and publish configurations with compare-and-set."""
+
+    def __init__(self, tools: Tools, view: MembershipView) -> None:
+        """Prepare.
+
+        Args:
+            tools: The shared parts.
+            view: The servers that the platform lists.
+        """
+        self._tools = tools
+        self._view = view
+
+    def present(self) -> ConfigInForce | None:
+        """Return the configuration in force, or None."""
+        return self._tools.book.present()
+
+    def publish(self, config: Configuration, base_version: int, operator: str) -> int:
+        """Publish a configuration in place of a known version.
+
+        Args:
+            config: The checked configuration.
+            base_version: The version that the operator saw, 0 for none.
+            operator: Who publishes.
+
+        Returns:
+            The new version.
+
+        Raises:
+            BadInputError: When guarantees do not fit the servers.
+            ConfigConflictError: When another version is in force.
+            CatkinknotError: When the log is out, or its answer not known.
+        """
+        faults = fleet_faults(config)
+        if faults:
+            raise BadInputError(ResultCode.GUARANTEE_EXCEEDS_FLEET, faults)
+        record = ConfigPublished(base_version, config, operator)
+        try:
+            verdict = self._tools.appender.append_and_wait(record, _PUBLISH_WAIT_S)
+        except NotAppendedError:
+            raise CatkinknotError(
+                "the platform's log is out; nothing was published",
+                code=ResultCode.LOG_UNAVAILABLE,
+            ) from None
+        except AppendUnknownError:
+            raise CatkinknotError(
+                "the log has not confirmed it; run config show before trying again",
+                code=ResultCode.OUTCOME_UNKNOWN,
+            ) from None
+        if not verdict.ok:
+            raise ConfigConflictError(verdict.message)
+        return verdict.offset + 1
+
+
+def fleet_faults(config: Configuration) -> list[str]:
+    """List the zones whose servers could not give all guarantees at once.
+
+    Args:
+        config: A configuration whose fields are right.
+
+    Returns:
+        One "path: reason" line for each zone that is too small.
+    """
+    faults = []
+    for place, zone in enumerate(config.zones):
+        shapes = [
+            shape.accelerators
+            for workspace in config.workspaces
+            for shape in workspace.guarantee
+            if shape.zone == zone.name
+            for _ in range(shape.count)
+        ]
+        missing = unpacked_shapes(_empty_rooms(zone), shapes)
+        if missing:
+            total = zone.servers * zone.accelerators_per_server
+            faults.append(
+                f"zones[{place}]: {len(missing)} guaranteed shapes "
+                f"({sum(missing)} accelerators) do not fit its {total} accelerators"
+            )
+    return faults
+
+
+def _empty_rooms(zone: Zone) -> list[Room]:
+    """Describe the zone with nothing running."""
+    size = zone.accelerators_per_server
+    whole = (1 << size) - 1
+    return [Room(number // zone.servers_per_rack, size, whole) for number in range(zone.servers)]
--- /dev/null
+++ b/app/src/catkinknot/app/_duties.py
@@ -0,0 +1,251 @@
+"""Do what must be done again and again: heartbeats, lists, claims, snapshots."""
+
+import threading
+from concurrent.futures import TimeoutError as FutureTimeoutError
+
+from catkinknot.journal import part_logger
+from catkinknot.membership import (
+    CROSS_ZONE_PERIOD_S,
+    IN_ZONE_PERIOD_S,
+    Heartbeat,
+    Keeper,
+    Listing,
+    MembershipView,
+)
+from catkinknot.model.exceptions import PlatformError, UnreachableError
+from catkinknot.peers import PeerNode
+from catkinknot.platformlog import SnapshotTaken
+
+from ._messages import AskState, ConfigOffer, StateAnswer
+from ._routing import zone_order
+from ._tools import Tools
+from ._zone import ZoneOffice
+
+__all__ = ["Duties"]
+
+_LIST_PERIOD_S = 1.0
+_KEEPER_PERIOD_S = 0.25
+_CONFIG_PERIOD_S = 1.0
+_HOUSE_PERIOD_S = 5.0
+_ADOPT_AFTER_S = 10.0
+"""Take another zone's lasting jobs when nobody has scheduled it for this long."""
+
+_STATE_WAIT_S = 2.0
+
+log = part_logger("duties")
+
+
+class Duties:
+    """Run the periodic work of an instance, one thread for each rhythm."""
+
+    def __init__(
+        self,
+        tools: Tools,
+        listing: Listing,
+        view: MembershipView,
+        keeper: Keeper,
+        office: ZoneOffice,
+        node: PeerNode,
+    ) -> None:
+        """Prepare; `start` begins.
+
+        Args:
+            tools: The shared parts.
+            listing: The platform's list.
+            view: The other instances.
+            keeper: Decides about this zone.
+            office: This instance's own zone.
+            node: The links to other instances.
+        """
+        self._tools = tools
+        self._listing = listing
+        self._view = view
+        self._keeper = keeper
+        self._office = office
+        self._node = node
+        self._closed = threading.Event()
+        self._leaving = False
+        self._sent = 0
+        self._vacant_since_s: dict[str, float] = {}
+        self._heard: set[str] = set()
+
+    def start(self) -> None:
+        """Start the threads."""
+        self.read_list()
+        rhythms = (
+            ("heartbeats", self.send_heartbeats, IN_ZONE_PERIOD_S),
+            ("list", self.read_list, _LIST_PERIOD_S),
+            ("keeper", self._keeper.step, _KEEPER_PERIOD_S),
+            ("config", self.pass_on_config, _CONFIG_PERIOD_S),
+            ("housekeeping", self.keep_house, _HOUSE_PERIOD_S),
+        )
+        for name, duty, period_s in rhythms:
+            threading.Thread(
+                target=self._repeat, args=(duty, period_s), name=name, daemon=True
+            ).start()
+
+    def close(self) -> None:
+        """End the threads."""
+        self._closed.set()
+
+    def leave(self) -> None:
+        """Say from now on that this instance takes no new work."""
+        self._leaving = True
+        self.send_heartbeats()
+
+    @property
+    def leaving(self) -> bool:
+        """Whether this instance takes no new work."""
+        return self._leaving
+
+    def send_heartbeats(self) -> None:
+        """Tell all peers how this instance stands."""
+        self._sent += 1
+        heartbeat = self._heartbeat()
+        every = round(CROSS_ZONE_PERIOD_S / IN_ZONE_PERIOD_S)
+        due_far = self._sent % every == 0 or self._leaving
+        for peer in self._view.entries():
+            if peer.listed.zone == self._tools.zone or due_far:
+                self._node.tell(peer.listed.name, heartbeat)
+
+    def read_list(self) -> None:
+        """Read the platform's list and keep links to all entry instances."""
+        try:
+            self._view.take_list(self._listing.read())
+        except PlatformError as exc:
+            log.debug("The instance list was not read: {}.", exc.message)
+            return
+        wanted = set()
+        for peer in self._view.entries():
+            wanted.add(peer.listed.name)
+            address = f"{peer.listed.ip}:{peer.listed.peer_port}"
+            self._node.connect(peer.listed.name, address)
+        for name in set(self._node.peers()) - wanted:
+            self._node.disconnect(name)
+        self._office.refresh()
+        self._note_members()
+
+    def keep_house(self) -> None:
+        """Do what needs doing only now and then."""
+        self._append_snapshot()
+        self._ask_for_state()
+        self._adopt_left_jobs()
+        self._update_gauges()
+
+    def _heartbeat(self) -> Heartbeat:
+        """Describe this instance."""
+        holding = self._office.holding()
+        status = self._office.status() if holding else None
+        silent_s = self._tools.reader.silent_for_s()
+        with self._tools.reader.state() as state:
+            offset = state.next_offset
+        return Heartbeat(
+            instance=self._tools.instance,
+            boot=self._tools.boot,
+            zone=self._tools.zone,
+            state="leaving" if self._leaving else "live",
+            holds=str(holding) if holding else "",
+            config_version=self._tools.book.version(),
+            log_offset=offset,
+            log_silent_s=-1.0 if silent_s is None else round(silent_s, 1),
+            free_accelerators=status.free_accelerators if status else 0,
+            sent=self._sent,
+        )
+
+    def _note_members(self) -> None:
+        """Add to the time line who came and who is no longer heard."""
+        heard = {peer.listed.name for peer in self._view.entries() if peer.reachable}
+        for name in heard - self._heard:
+            self._tools.ring.add("membership", "peer.heard", name)
+        for name in self._heard - heard:
+            self._tools.ring.add("membership", "peer.silent", name)
+        self._heard = heard
+
+    def _append_snapshot(self) -> None:
+        """Append a snapshot when one is due and this instance holds its zone."""
+        if self._office.holding() is None or not self._tools.reader.snapshot_due():
+            return
+        covers, packed = self._tools.reader.packed()
+        self._tools.appender.append(SnapshotTaken(covers, packed))
+
+    def pass_on_config(self) -> None:
+        """Offer the configuration to peers that say they have an older one."""
+        present = self._tools.book.present()
+        if present is None:
+            return
+        offer = ConfigOffer(present.version, present.config)
+        for peer in self._view.entries():
+            if peer.reachable and peer.heartbeat.config_version < present.version:
+                self._node.tell(peer.listed.name, offer)
+
+    def _ask_for_state(self) -> None:
+        """Start from a peer's state while the log does not answer."""
+        if self._tools.reader.booted:
+            return
+        for peer in self._view.entries():
+            if not peer.reachable:
+                continue
+            fut = self._node.ask(peer.listed.name, AskState(), _STATE_WAIT_S)
+            try:
+                answer = fut.result(_STATE_WAIT_S + 1)
+            except (UnreachableError, FutureTimeoutError):
+                continue
+            if isinstance(answer, StateAnswer) and answer.packed:
+                if self._tools.reader.seed(answer.packed):
+                    log.info("The state was taken from peer {}.", peer.listed.name)
+                return
+
+    def _adopt_left_jobs(self) -> None:
+        """Take lasting jobs whose zone nobody has scheduled for long."""
+        present = self._tools.book.present()
+        if present is None or self._office.holding() is None:
+            return
+        left = self._left_zones([zone.name for zone in present.config.zones])
+        if not left:
+            return
+        with self._tools.reader.state() as state:
+            jobs = [
+                job
+                for job in state.jobs.values()
+                if job.zone in left and job.outcome is None and job.intent is None
+            ]
+        for job in jobs:
+            kind = present.config.kind(job.request.kind)
+            order = zone_order(present.config, job.request, kind) if kind else []
+            first = next((zone for zone in order if zone not in left), None)
+            if first == self._tools.zone:
+                self._office.take_from_log(job.request.job_id)
+
+    def _left_zones(self, zones: list[str]) -> set[str]:
+        """Return the zones that nobody has scheduled for long."""
+        now = self._tools.clock.now()
+        left = set()
+        for zone in zones:
+            if zone == self._tools.zone or self._view.holder_of(zone) is not None:
+                self._vacant_since_s.pop(zone, None)
+            elif now - self._vacant_since_s.setdefault(zone, now) > _ADOPT_AFTER_S:
+                left.add(zone)
+        return left
+
+    def _update_gauges(self) -> None:
+        """Bring the gauges up to date."""
+        metrics = self._tools.metrics
+        metrics.config_version.set({}, self._tools.book.version())
+        metrics.log_silent_seconds.set({}, self._tools.reader.silent_for_s() or 0.0)
+        metrics.peer_bytes.set({}, self._node.traffic_bytes())
+        metrics.bad_messages.set({}, self._node.bad_messages)
+        metrics.corrupt_records.set({}, self._tools.reader.corrupt_records)
+        status = self._office.status()
+        if status is not None:
+            zone = {"zone": self._tools.zone}
+            metrics.waiting.set(zone, sum(queue.jobs for queue in status.queues))
+            metrics.running.set(zone, status.accelerators - status.free_accelerators)
+
+    def _repeat(self, duty, period_s: float) -> None:
+        """Do a duty in a rhythm until closed."""
+        while not self._closed.wait(period_s):
+            try:
+                duty()
+            except Exception:
+                # A fault in one round must not end the rounds to come.
+                log.exception("A duty failed.")
--- /dev/null
+++ b/app/src/catkinknot/app/_gangs.py
@@ -0,0 +1,134 @@
+"""Put together what the members of a gang report."""
+
+from dataclasses import dataclass, field
+
+from catkinknot.backends import TaskReport
+from catkinknot.placement import Placement, Slice
+
+__all__ = ["Gang", "GangBoard"]
+
+_ACTIVE = ("running", "stopping")
+
+
+@dataclass
+class Gang:
+    """Hold the reports of one attempt of a job.
+
+    Attributes:
+        job: The job, as ``workspace/key``.
+        attempt: The attempt.
+        servers: All servers of the gang, by rank.
+        first_s: When the first report came.
+        reports: The newest report of each server.
+        lost: Servers that do not answer or have forgotten the task.
+    """
+
+    job: str
+    attempt: int
+    servers: tuple[str, ...]
+    first_s: float
+    reports: dict[str, TaskReport] = field(default_factory=dict)
+    lost: set[str] = field(default_factory=set)
+
+    @property
+    def placement(self) -> Placement:
+        """The accelerators of all members that reported."""
+        return Placement(tuple(Slice(s, self.reports[s].mask) for s in sorted(self.reports)))
+
+    @property
+    def complete(self) -> bool:
+        """Whether every member is running."""
+        return all(s in self.reports and self.reports[s].phase in _ACTIVE for s in self.servers)
+
+    @property
+    def over(self) -> bool:
+        """Whether no member can be running."""
+        return all(
+            s in self.lost or (s in self.reports and self.reports[s].phase not in _ACTIVE)
+            for s in self.servers
+        )
+
+    @property
+    def active(self) -> list[str]:
+        """The servers whose member is running."""
+        return [s for s, r in self.reports.items() if r.phase in _ACTIVE and s not in self.lost]
+
+    def phase_on(self, phase: str) -> list[TaskReport]:
+        """Return the reports of members in a phase."""
+        return [report for report in self.reports.values() if report.phase == phase]
+
+    @property
+    def answer(self) -> TaskReport | None:
+        """The report with the result, None when it has not come."""
+        done = [r for r in self.phase_on("done") if r.rank == 0]
+        return done[0] if done else None
+
+    @property
+    def failure(self) -> tuple[str, TaskReport] | None:
+        """The first server that failed its member, with its report."""
+        failed = [(s, r) for s, r in self.reports.items() if r.phase == "failed"]
+        return failed[0] if failed else None
+
+    @property
+    def lease(self) -> str:
+        """The name of the members' reservations."""
+        return next(iter(self.reports.values())).lease
+
+    @property
+    def progress_s(self) -> float:
+        """Seconds of work that the checkpoints of all members keep."""
+        return min((r.progress_s for r in self.reports.values()), default=0.0)
+
+
+class GangBoard:
+    """Hold the gangs that servers report, by job and attempt."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._gangs: dict[tuple[str, int], Gang] = {}
+
+    def take(self, server: str, report: TaskReport, now: float) -> Gang:
+        """Add a report.
+
+        Args:
+            server: Who reports.
+            report: The report.
+            now: The present time in seconds.
+
+        Returns:
+            The gang that it belongs to.
+        """
+        name = (report.job, report.attempt)
+        gang = self._gangs.get(name)
+        if gang is None:
+            gang = Gang(report.job, report.attempt, report.servers, now)
+            self._gangs[name] = gang
+        gang.reports[server] = report
+        gang.lost.discard(server)
+        return gang
+
+    def find(self, job: str, attempt: int) -> Gang | None:
+        """Return the reports of an attempt, or None."""
+        return self._gangs.get((job, attempt))
+
+    def forget(self, gang: Gang) -> None:
+        """Drop a gang that is settled."""
+        self._gangs.pop((gang.job, gang.attempt), None)
+
+    def lose(self, server: str) -> list[Gang]:
+        """Mark the members on a server as lost.
+
+        Args:
+            server: The server.
+
+        Returns:
+            The gangs that have a member there.
+        """
+        touched = [gang for gang in self._gangs.values() if server in gang.servers]
+        for gang in touched:
+            gang.lost.add(server)
+        return touched
+
+    def gangs(self) -> list[Gang]:
+        """Return all gangs."""
+        return list(self._gangs.values())
--- /dev/null
+++ b/app/src/catkinknot/app/_peer_desk.py
@@ -0,0 +1,69 @@
+"""Answer what other instances ask."""
+
+from catkinknot.membership import Heartbeat, MembershipView
+from catkinknot.peers import Reply
+
+from ._messages import (
+    AskEvents,
+    AskJob,
+    AskState,
+    AskStatus,
+    CancelJob,
+    ConfigOffer,
+    EventsAnswer,
+    Message,
+    StateAnswer,
+    SubmitJob,
+)
+from ._status import StatusDesk
+from ._tools import Tools
+from ._zone import ZoneOffice
+
+__all__ = ["PeerDesk"]
+
+
+class PeerDesk:
+    """Take each message of another instance to the part that answers it."""
+
+    def __init__(self, tools: Tools, view: MembershipView, office: ZoneOffice) -> None:
+        """Prepare.
+
+        Args:
+            tools: The shared parts.
+            view: The other instances.
+            office: This instance's own zone.
+        """
+        self._tools = tools
+        self._view = view
+        self._office = office
+        self.status: StatusDesk | None = None
+
+    def handle(self, sender: str, message: Message, reply: Reply) -> None:
+        """Answer one message.
+
+        Args:
+            sender: The other instance.
+            message: What it says.
+            reply: Sends the answer, now or later.
+        """
+        match message:
+            case Heartbeat():
+                self._view.take_heartbeat(message)
+            case SubmitJob() | AskJob() | CancelJob():
+                self._office.handle(message, reply)
+            case ConfigOffer(version=version, config=config):
+                if self._tools.book.offer(version, config):
+                    self._tools.ring.add("config", "config.from_peer", sender)
+            case AskState():
+                reply(StateAnswer(self._packed()))
+            case AskEvents(wanted=wanted):
+                reply(EventsAnswer(tuple(self._tools.ring.find(wanted))))
+            case AskStatus():
+                if self.status is not None:
+                    reply(self.status.own())
+
+    def _packed(self) -> str:
+        """Return the state of the log, empty while this instance has none."""
+        if not self._tools.reader.booted:
+            return ""
+        return self._tools.reader.packed()[1]
--- /dev/null
+++ b/app/src/catkinknot/app/_routing.py
@@ -0,0 +1,76 @@
+"""Choose the availability zone that runs a job.
+
+All instances that have the same configuration choose the same zone, so that
+a retry through any of them finds the first try. The choice is a weighted
+rendezvous hash: a change of one zone's weight moves only the jobs that must
+move.
+"""
+
+import hashlib
+import math
+
+from catkinknot.model import Configuration, JobRequest, Kind, Zone
+
+__all__ = ["zone_order"]
+
+_HASH_BYTES = 8
+
+
+def zone_order(cfg: Configuration, request: JobRequest, kind: Kind) -> list[str]:
+    """List the zones that could run a job, the first choice first.
+
+    Zones that back the workspace's guarantee for a gang of this size come
+    first, by how much they back. The others follow by their size.
+
+    Args:
+        cfg: The configuration in force.
+        request: The job.
+        kind: Its kind of work.
+
+    Returns:
+        Zone names; empty when no zone can hold the gang.
+    """
+    fitting = [zone for zone in cfg.zones if _fits(zone, request, kind)]
+    backing = {zone.name: _backing(cfg, request, zone.name) for zone in fitting}
+    key = str(request.job_id)
+    scored = []
+    for zone in fitting:
+        weight = backing[zone.name]
+        size = zone.servers * zone.accelerators_per_server
+        score = _score(f"{key}@{zone.name}", weight or size)
+        scored.append((weight > 0, score, zone.name))
+    scored.sort(reverse=True)
+    return [name for _, _, name in scored]
+
+
+def _fits(zone: Zone, request: JobRequest, kind: Kind) -> bool:
+    """Tell whether a zone could ever hold the gang."""
+    servers = zone.servers
+    if not kind.across_racks:
+        servers = min(servers, zone.servers_per_rack)
+    return request.accelerators <= servers * zone.accelerators_per_server
+
+
+def _backing(cfg: Configuration, request: JobRequest, zone: str) -> int:
+    """Return the accelerators that a zone guarantees for such a gang."""
+    workspace = cfg.workspace(request.workspace)
+    return sum(
+        shape.accelerators * shape.count
+        for shape in workspace.guarantee
+        if shape.zone == zone and shape.accelerators >= request.accelerators
+    )
+
+
+def _score(text: str, weight: float) -> float:
+    """Score a zone for a job; the highest score wins.
+
+    Args:
+        text: Names the job and the zone.
+        weight: How many jobs the zone should get, against the others.
+
+    Returns:
+        The score.
+    """
+    raw = hashlib.blake2b(text.encode(), digest_size=_HASH_BYTES).digest()
+    part = (int.from_bytes(raw, "big") + 1) / (2 ** (8 * _HASH_BYTES) + 1)
+    return -weight / math.log(part)
--- /dev/null
+++ b/app/src/catkinknot/app/_serve.py
@@ -0,0 +1,57 @@
+"""Run one instance until it is told to stop."""
+
+import signal
+import threading
+import time
+
+from cheroot import wsgi
+
+from catkinknot.journal import part_logger, set_up_logs
+from catkinknot.model import Settings
+
+from ._compose import Instance, open_instance, outside_of
+from ._entry import build_server
+
+__all__ = ["serve"]
+
+_NOTICE_S = 3.0
+"""Give balancers and peers this long to notice that the instance leaves."""
+
+_CHECK_S = 0.1
+
+log = part_logger("main")
+
+
+def serve(settings: Settings) -> None:
+    """Run an instance until SIGTERM or SIGINT, then shut down gracefully.
+
+    Args:
+        settings: The checked settings.
+    """
+    set_up_logs(settings.instance, form=settings.log_form, level=settings.log_level)
+    stop = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: stop.set())
+    with open_instance(settings, outside_of(settings)) as instance:
+        server = build_server(instance)
+        server.prepare()
+        thread = threading.Thread(target=server.serve, name="http", daemon=True)
+        thread.start()
+        log.info("Callers are served on {}.", settings.http)
+        stop.wait()
+        _shut_down(instance, server)
+    log.info("This instance has stopped.")
+
+
+def _shut_down(instance: Instance, server: wsgi.Server) -> None:
+    """Leave, finish what is held, then close the front."""
+    log.info("This instance is leaving.")
+    began = time.monotonic()
+    instance.leave()
+    until = began + instance.settings.drain_s
+    while time.monotonic() < until:
+        noticed = time.monotonic() - began >= _NOTICE_S
+        if noticed and instance.quiet():
+            break
+        time.sleep(_CHECK_S)
+    server.stop()
--- /dev/null
+++ b/app/src/catkinknot/app/_status.py
@@ -0,0 +1,267 @@
+"""Gather what all instances know and judge whether the service is down."""
+
+import time
+from concurrent.futures import Future
+from concurrent.futures import TimeoutError as FutureTimeoutError
+from dataclasses import replace
+
+from pydantic.dataclasses import dataclass
+
+from catkinknot.journal import (
+    Event,
+    EventFilter,
+    LaneCounts,
+    LaneVerdict,
+    ServiceWindow,
+    judge_lane,
+    merge_events,
+)
+from catkinknot.membership import MembershipView
+from catkinknot.model.exceptions import UnreachableError
+from catkinknot.peers import PeerNode
+
+from ._duties import Duties
+from ._messages import AskEvents, AskStatus, EventsAnswer, InstanceStatus
+from ._tools import Tools
+from ._zone import ZoneOffice
+
+__all__ = ["ServiceStatus", "StatusDesk", "TimeLine", "ZoneStatus"]
+
+_ASK_S = 1.5
+
+
+@dataclass(frozen=True)
+class ZoneStatus:
+    """Say who schedules an availability zone.
+
+    Attributes:
+        zone: The zone.
+        holder: The instance, empty when nobody who answers does.
+        epoch: Its epoch.
+        since_s: Seconds since 1970 from when on.
+        servers: Servers that answer it.
+        accelerators: Accelerators that may be used.
+        free_accelerators: Free ones among them.
+        unhonoured: Sizes of guaranteed shapes that could not be given now.
+        doubtful: Jobs whose outcome is being resolved.
+    """
+
+    zone: str
+    holder: str
+    epoch: str = ""
+    since_s: float = 0.0
+    servers: int = 0
+    accelerators: int = 0
+    free_accelerators: int = 0
+    unhonoured: tuple[int, ...] = ()
+    doubtful: int = 0
+
+
+@dataclass(frozen=True)
+class ServiceStatus:
+    """Answer "is it down?" as this instance sees it.
+
+    Attributes:
+        asked: The instance that answers.
+        at_s: Seconds since 1970 of the answer.
+        config_version: The newest configuration known.
+        lanes: The answer for each workspace and kind of work.
+        zones: Who schedules each zone.
+        instances: What each instance says that could be asked.
+        unseen: What the answering instance can't see, as sentences.
+    """
+
+    asked: str
+    at_s: float
+    config_version: int
+    lanes: tuple[LaneVerdict, ...]
+    zones: tuple[ZoneStatus, ...]
+    instances: tuple[InstanceStatus, ...]
+    unseen: tuple[str, ...]
+
+
+@dataclass(frozen=True)
+class TimeLine:
+    """Hold the merged events of all instances that could be asked.
+
+    Attributes:
+        events: The events, oldest first.
+        unasked: Instances that did not answer.
+    """
+
+    events: tuple[Event, ...]
+    unasked: tuple[str, ...]
+
+
+class StatusDesk:
+    """Answer operators through any instance."""
+
+    def __init__(
+        self,
+        tools: Tools,
+        view: MembershipView,
+        office: ZoneOffice,
+        node: PeerNode,
+        window: ServiceWindow,
+        duties: Duties,
+    ) -> None:
+        """Prepare.
+
+        Args:
+            tools: The shared parts.
+            view: The other instances.
+            office: This instance's own zone.
+            node: The links to other instances.
+            window: What callers got lately.
+            duties: Knows whether this instance is leaving.
+        """
+        self._tools = tools
+        self._view = view
+        self._office = office
+        self._node = node
+        self._window = window
+        self._duties = duties
+
+    def own(self) -> InstanceStatus:
+        """Tell what this instance itself knows."""
+        holding = self._office.holding()
+        zone = self._office.status()
+        silent_s = self._tools.reader.silent_for_s()
+        age_s = self._view.list_age_s()
+        status = InstanceStatus(
+            instance=self._tools.instance,
+            zone=self._tools.zone,
+            state="leaving" if self._duties.leaving else "live",
+            config_version=self._tools.book.version(),
+            lanes=tuple(self._lanes(zone)),
+            log_silent_s=-1.0 if silent_s is None else silent_s,
+            list_age_s=-1.0 if age_s is None else age_s,
+            unseen=tuple(p.listed.name for p in self._view.entries() if not p.reachable),
+            corrupt_records=self._tools.reader.corrupt_records,
+        )
+        if holding is None or zone is None:
+            return status
+        return replace(
+            status,
+            holds=str(holding),
+            holds_since_s=self._office.held_since_s(),
+            servers=zone.servers,
+            accelerators=zone.accelerators,
+            free_accelerators=zone.free_accelerators,
+            troubled=zone.troubled,
+            unhonoured=zone.unhonoured,
+            queues=zone.queues,
+            doubtful=zone.doubtful,
+        )
+
+    def service(self) -> ServiceStatus:
+        """Ask all instances and judge."""
+        answers, silent = self._ask_all(AskStatus())
+        found = [item for item in answers.values() if isinstance(item, InstanceStatus)]
+        instances = tuple(sorted([self.own(), *found], key=lambda item: item.instance))
+        present = self._tools.book.present()
+        config = present.config if present else None
+        zones = [zone.name for zone in config.zones] if config else [self._tools.zone]
+        return ServiceStatus(
+            asked=self._tools.instance,
+            at_s=self._tools.clock.wall(),
+            config_version=max(item.config_version for item in instances),
+            lanes=tuple(self._judge(config, instances)),
+            zones=tuple(_zone_status(zone, instances) for zone in zones),
+            instances=instances,
+            unseen=tuple(self._blind_spots(silent)),
+        )
+
+    def time_line(self, wanted: EventFilter) -> TimeLine:
+        """Merge the events of all instances that answer.
+
+        Args:
+            wanted: Which events.
+
+        Returns:
+            The events in causal order.
+        """
+        answers, silent = self._ask_all(AskEvents(wanted))
+        rings = [list(a.events) for a in answers.values() if isinstance(a, EventsAnswer)]
+        rings.append(self._tools.ring.find(wanted))
+        return TimeLine(tuple(merge_events(rings, limit=wanted.limit)), tuple(silent))
+
+    def _lanes(self, zone) -> list[LaneCounts]:
+        """Return what callers got here, and how long work waits in the zone."""
+        lanes = {(lane.workspace, lane.kind): lane for lane in self._window.counts()}
+        for queue in zone.queues if zone else ():
+            name = (queue.workspace, queue.kind)
+            lane = lanes.setdefault(name, LaneCounts(queue.workspace, queue.kind, bad={}))
+            lane.oldest_wait_s = max(lane.oldest_wait_s, queue.oldest_wait_s)
+        return list(lanes.values())
+
+    def _judge(self, config, instances: tuple[InstanceStatus, ...]) -> list[LaneVerdict]:
+        """Judge every workspace and kind of the configuration."""
+        by_lane: dict[tuple[str, str], list[LaneCounts]] = {}
+        for instance in instances:
+            for lane in instance.lanes:
+                by_lane.setdefault((lane.workspace, lane.kind), []).append(lane)
+        if config is None:
+            return []
+        return [
+            judge_lane(
+                workspace.name,
+                kind.name,
+                by_lane.get((workspace.name, kind.name), ()),
+                deadline_s=kind.deadline_s,
+            )
+            for workspace in config.workspaces
+            for kind in config.kinds
+        ]
+
+    def _ask_all(self, message) -> tuple[dict[str, object], list[str]]:
+        """Ask all other instances at once.
+
+        Returns:
+            The answers by instance, and who did not answer.
+        """
+        names = [peer.listed.name for peer in self._view.entries()]
+        futs: dict[str, Future] = {name: self._node.ask(name, message, _ASK_S) for name in names}
+        until = time.monotonic() + _ASK_S + 0.5
+        answers = {}
+        silent = []
+        for name, fut in futs.items():
+            try:
+                answers[name] = fut.result(max(until - time.monotonic(), 0.0))
+            except (UnreachableError, FutureTimeoutError):
+                silent.append(name)
+        return answers, silent
+
+    def _blind_spots(self, silent: list[str]) -> list[str]:
+        """Say what this instance can't see, and for how long."""
+        spots = [f"Instance {name} does not answer this one." for name in silent]
+        silent_s = self._tools.reader.silent_for_s()
+        if silent_s is None:
+            spots.append("The platform's log has never answered this instance.")
+        elif silent_s > 10:
+            spots.append(f"The platform's log has not answered for {silent_s:.0f} s.")
+        age_s = self._view.list_age_s()
+        if age_s is None:
+            spots.append("The platform's instance list was never read.")
+        elif age_s > 10:
+            spots.append(f"The platform's instance list is {age_s:.0f} s old.")
+        return spots
+
+
+def _zone_status(zone: str, instances: tuple[InstanceStatus, ...]) -> ZoneStatus:
+    """Say who schedules a zone; should two say so, the higher epoch is right."""
+    holders = [item for item in instances if item.zone == zone and item.holds]
+    if not holders:
+        return ZoneStatus(zone, "")
+    holder = max(holders, key=lambda item: tuple(map(int, item.holds.split("."))))
+    return ZoneStatus(
+        zone,
+        holder.instance,
+        holder.holds,
+        holder.holds_since_s,
+        holder.servers,
+        holder.accelerators,
+        holder.free_accelerators,
+        holder.unhonoured,
+        holder.doubtful,
+    )
--- /dev/null
+++ b/app/src/catkinknot/app/_tools.py
@@ -0,0 +1,49 @@
+"""Bundle what the parts of one process share."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from catkinknot.journal import EventRing, Metrics
+from catkinknot.model import Clock
+from catkinknot.platformlog import Appender, LogReader
+
+from ._config_book import ConfigBook
+from ._servers import ClientBook
+
+__all__ = ["Tools"]
+
+
+@dataclass(frozen=True)
+class Tools:
+    """Hold the parts that most others need.
+
+    Attributes:
+        instance: This instance.
+        boot: Names this run of it.
+        zone: Its availability zone.
+        book: The configuration in force.
+        reader: The state of the log.
+        appender: Appends to the log.
+        clients: The backend servers.
+        ring: The time line of this process.
+        metrics: Its metrics.
+        clock: Where time comes from.
+        spawn: Runs a function on another thread of a bounded pool.
+    """
+
+    instance: str
+    boot: str
+    zone: str
+    book: ConfigBook
+    reader: LogReader
+    appender: Appender
+    clients: ClientBook
+    ring: EventRing
+    metrics: Metrics
+    clock: Clock
+    spawn: Callable[..., None]
+
+    @property
+    def holder(self) -> str:
+        """This run of this instance, as lease holders are named."""
+        return f"{self.instance}:{self.boot}"
--- /dev/null
+++ b/app/src/catkinknot/app/_zone.py
@@ -0,0 +1,175 @@
+"""Run a session while this instance schedules its availability zone."""
+
+import threading
+from collections.abc import Callable
+
+from catkinknot.backends import Epoch
+from catkinknot.journal import part_logger
+from catkinknot.membership import Holding, MembershipView
+from catkinknot.model import JobId, Outcome, ResultCode
+from catkinknot.platformlog import Applied, ConfigInForce
+
+from ._messages import AskJob, CancelJob, JobAnswer, NotHolder, SubmitJob
+from ._session import SessionStatus, ZoneSession
+from ._tools import Tools
+
+__all__ = ["ZoneOffice"]
+
+Send = Callable[[JobAnswer | NotHolder], None]
+
+_CANCEL_WAIT_S = 1.0
+
+log = part_logger("zone")
+
+
+class ZoneOffice:
+    """Open a session when the zone is won, and close it when it is lost."""
+
+    def __init__(self, tools: Tools, view: MembershipView) -> None:
+        """Start without the zone.
+
+        Args:
+            tools: The shared parts.
+            view: The instances and servers.
+        """
+        self._tools = tools
+        self._view = view
+        self._lock = threading.Lock()
+        self._session: ZoneSession | None = None
+        self._holding: Holding | None = None
+        self._held_since_s = 0.0
+        self._draining = False
+        self._on_deposed: Callable[[], None] = lambda: None
+
+    def on_deposed(self, deposed: Callable[[], None]) -> None:
+        """Say whom to tell when a server has a newer holder."""
+        self._on_deposed = deposed
+
+    def holding(self) -> Holding | None:
+        """Return what this instance holds, None while it has no session."""
+        with self._lock:
+            return self._holding if self._session is not None else None
+
+    def held_since_s(self) -> float:
+        """Return seconds since 1970 from when on the zone is held here."""
+        return self._held_since_s
+
+    def changed(self, holding: Holding | None) -> None:
+        """Open or close the session as the keeper says."""
+        present = self._tools.book.present()
+        with self._lock:
+            old, self._session = self._session, None
+            self._holding = holding
+        if old is not None:
+            old.close()
+        if holding is None:
+            self._tools.ring.add("zone", "zone.lost", zone=self._tools.zone)
+            log.info("This instance no longer schedules zone {}.", self._tools.zone)
+            return
+        self._held_since_s = self._tools.clock.wall()
+        self._tools.ring.add("zone", "zone.held", zone=self._tools.zone, epoch=str(holding))
+        log.info("This instance schedules zone {} under epoch {}.", self._tools.zone, holding)
+        if present is not None:
+            self._open(holding, present)
+
+    def configured(self, present: ConfigInForce) -> None:
+        """Put another configuration in force, opening a session that waited for one."""
+        with self._lock:
+            session, holding = self._session, self._holding
+        if session is not None:
+            session.configure(present.config)
+        elif holding is not None:
+            self._open(holding, present)
+
+    def refresh(self) -> None:
+        """Pass the listed servers of the zone to the session."""
+        session = self._present()
+        if session is not None:
+            session.refresh_servers(self._view.backends(self._tools.zone))
+
+    def log_applied(self, applied: Applied) -> None:
+        """Pass a record of the log to the session."""
+        session = self._present()
+        if session is not None:
+            session.log_applied(applied)
+
+    def take_from_log(self, job_id: JobId) -> None:
+        """Schedule here a job of the log that another zone left."""
+        session = self._present()
+        if session is not None:
+            session.take_from_log(job_id)
+
+    def drain(self) -> None:
+        """Start nothing new here from now on."""
+        self._draining = True
+        session = self._present()
+        if session is not None:
+            session.drain()
+
+    def busy(self) -> bool:
+        """Tell whether any job is unfinished here."""
+        session = self._present()
+        return session is not None and session.busy()
+
+    def status(self) -> SessionStatus | None:
+        """Tell how the zone stands, None when it is not held here."""
+        session = self._present()
+        return session.status() if session is not None else None
+
+    def handle(self, message: SubmitJob | AskJob | CancelJob, send: Send) -> None:
+        """Answer what is asked of the zone's scheduler.
+
+        Args:
+            message: The question.
+            send: Takes the answer, now or later.
+        """
+        session = self._present()
+        if session is None:
+            send(NotHolder())
+            return
+
+        def answer(outcome: Outcome | None) -> None:
+            """Send an outcome, or say that it is not known here."""
+            send(NotHolder() if outcome is None else JobAnswer(outcome))
+
+        match message:
+            case SubmitJob(request=request, wait_s=wait_s):
+                session.submit(request, answer, wait_s)
+            case AskJob(job=job, wait_s=wait_s):
+                session.ask(job, _unknown_to(job, send), wait_s)
+            case CancelJob(job=job):
+                session.cancel(job)
+                session.ask(job, _unknown_to(job, send), _CANCEL_WAIT_S)
+
+    def _present(self) -> ZoneSession | None:
+        """Return the session, or None."""
+        with self._lock:
+            return self._session
+
+    def _open(self, holding: Holding, present: ConfigInForce) -> None:
+        """Open a session."""
+        epoch = Epoch(holding.term, holding.bump)
+        session = ZoneSession(self._tools, epoch, present.config, self._session_deposed)
+        with self._lock:
+            if self._holding != holding or self._session is not None:
+                return
+            self._session = session
+        session.start(self._view.backends(self._tools.zone))
+        if self._draining:
+            session.drain()
+
+    def _session_deposed(self, session: ZoneSession) -> None:
+        """Tell the keeper, unless the session is over already."""
+        if self._present() is session:
+            self._on_deposed()
+
+
+def _unknown_to(job: JobId, send: Send) -> Callable[[Outcome | None], None]:
+    """Answer UNKNOWN_JOB for a job that the scheduler does not know."""
+
+    def answer(outcome: Outcome | None) -> None:
+        """Send the outcome."""
+        unknown = Outcome(job.workspace, job.key, ResultCode.UNKNOWN_JOB, "not known here")
+        send(JobAnswer(outcome or unknown))
+
+    return answer
--- /dev/null
+++ b/libs/admission/src/catkinknot/admission/__init__.py
@@ -0,0 +1,17 @@
+"""Decide who waits, whose turn it is, and what is refused."""
+
+from ._estimate import RunTimeEstimator
+from ._fair import FairShare
+from ._limits import CallerLimiter
+from ._queue import JobQueue, Waiting
+from ._retry import Backoff, RetryBudget
+
+__all__ = [
+    "Backoff",
+    "CallerLimiter",
+    "FairShare",
+    "JobQueue",
+    "RetryBudget",
+    "RunTimeEstimator",
+    "Waiting",
+]
--- /dev/null
+++ b/libs/admission/src/catkinknot/admission/_queue.py
@@ -0,0 +1,162 @@
+"""Hold waiting jobs and say whose turn it is."""
+
+from collections import OrderedDict
+from collections.abc import Callable, Iterator
+from typing import Protocol
+
+from catkinknot.model import JobId, Kind
+
+__all__ = ["JobQueue", "Waiting"]
+
+Usage = Callable[[str], float]
+"""Tell how much a caller or a kind has used, in accelerator-seconds."""
+
+
+class Waiting(Protocol):
+    """Describe what the queue needs to know of a job."""
+
+    job_id: JobId
+    kind: Kind
+    caller: str
+    accelerators: int
+    arrived_s: float
+
+
+class JobQueue:
+    """Hold the waiting jobs of one zone by workspace, kind and caller.
+
+    Adding and removing a job takes constant time, so a wave of cancellations
+    costs no more for each job than one does.
+    """
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._lanes: dict[str, dict[str, dict[str, OrderedDict[JobId, Waiting]]]] = {}
+        self._jobs: dict[JobId, Waiting] = {}
+        self._counts: dict[tuple[str, str], int] = {}
+        self._asked: dict[tuple[str, str], int] = {}
+
+    def __len__(self) -> int:
+        """Return how many jobs wait."""
+        return len(self._jobs)
+
+    def __contains__(self, job_id: JobId) -> bool:
+        """Tell whether a job waits."""
+        return job_id in self._jobs
+
+    def add(self, job: Waiting, *, front: bool = False) -> None:
+        """Let a job wait.
+
+        Args:
+            job: The job.
+            front: Whether it goes before the caller's other jobs of the kind.
+        """
+        workspace, kind = job.job_id.workspace, job.kind.name
+        callers = self._lanes.setdefault(workspace, {}).setdefault(kind, {})
+        lane = callers.setdefault(job.caller, OrderedDict())
+        lane[job.job_id] = job
+        if front:
+            lane.move_to_end(job.job_id, last=False)
+        self._jobs[job.job_id] = job
+        self._count(workspace, kind, 1, job.accelerators)
+
+    def remove(self, job_id: JobId) -> Waiting | None:
+        """Take a job out.
+
+        Args:
+            job_id: The job.
+
+        Returns:
+            The job, None when it did not wait.
+        """
+        job = self._jobs.pop(job_id, None)
+        if job is None:
+            return None
+        kinds = self._lanes[job_id.workspace]
+        callers = kinds[job.kind.name]
+        lane = callers[job.caller]
+        del lane[job_id]
+        if not lane:
+            del callers[job.caller]
+        if not callers:
+            del kinds[job.kind.name]
+        if not kinds:
+            del self._lanes[job_id.workspace]
+        self._count(job_id.workspace, job.kind.name, -1, -job.accelerators)
+        return job
+
+    def waiting(self, workspace: str, kind: str) -> int:
+        """Return how many jobs of a workspace and kind wait."""
+        return self._counts.get((workspace, kind), 0)
+
+    def asked_accelerators(self, workspace: str, kind: str) -> int:
+        """Return the accelerators that waiting jobs of a workspace and kind ask for."""
+        return self._asked.get((workspace, kind), 0)
+
+    def kinds(self, workspace: str) -> list[str]:
+        """Return the kinds that a workspace waits for."""
+        return list(self._lanes.get(workspace, ()))
+
+    def workspaces(self) -> list[str]:
+        """Return the workspaces with waiting jobs."""
+        return list(self._lanes)
+
+    def lanes(self) -> list[tuple[str, str, int, float]]:
+        """Return workspace, kind, jobs and oldest arrival of every lane."""
+        rows = []
+        for workspace, kinds in self._lanes.items():
+            for kind, callers in kinds.items():
+                oldest = min(next(iter(lane.values())).arrived_s for lane in callers.values())
+                rows.append((workspace, kind, self.waiting(workspace, kind), oldest))
+        return rows
+
+    def jobs(self) -> list[Waiting]:
+        """Return all waiting jobs, in no order."""
+        return list(self._jobs.values())
+
+    def in_turn(
+        self, workspace: str, *, kind_first: Callable[[Kind], bool], caller_usage: Usage
+    ) -> Iterator[Waiting]:
+        """Yield a workspace's jobs in the order in which they should start.
+
+        Kinds that are below their floor go first, then the more urgent ones.
+        Within a kind the callers take turns, starting with the one that used
+        least.
+
+        Args:
+            workspace: The workspace.
+            kind_first: Whether a kind is below its floor.
+            caller_usage: What a caller has used.
+
+        Yields:
+            Jobs. The queue may be changed only after the last one.
+        """
+        kinds = self._lanes.get(workspace, {})
+        heads = [next(iter(next(iter(callers.values())).values())) for callers in kinds.values()]
+        heads.sort(key=lambda job: (not kind_first(job.kind), -job.kind.urgency, job.kind.name))
+        for head in heads:
+            yield from self._by_caller(kinds[head.kind.name], caller_usage)
+
+    def _by_caller(
+        self, callers: dict[str, OrderedDict[JobId, Waiting]], usage: Usage
+    ) -> Iterator[Waiting]:
+        """Yield one job of each caller in turn, the least served caller first."""
+        order = sorted(callers, key=lambda caller: (usage(caller), caller))
+        turns = [iter(callers[caller].values()) for caller in order]
+        while turns:
+            left = []
+            for turn in turns:
+                job = next(turn, None)
+                if job is not None:
+                    left.append(turn)
+                    yield job
+            turns = left
+
+    def _count(self, workspace: str, kind: str, jobs: int, accelerators: int) -> None:
+        """Keep the totals of a workspace and kind."""
+        lane = (workspace, kind)
+        self._counts[lane] = self._counts.get(lane, 0) + jobs
+        self._asked[lane] = self._asked.get(lane, 0) + accelerators
+        if self._counts[lane] == 0:
+            del self._counts[lane]
+            del self._asked[lane]
--- /dev/null
+++ b/libs/backends/src/catkinknot/backends/__init__.py
@@ -0,0 +1,66 @@
+"""Hold backend servers under leases and run gangs on them."""
+
+from ._client import BackendClient, HttpBackendClient
+from ._gang import (
+    RESERVE_TTL_S,
+    RUN_TTL_S,
+    GangStart,
+    GangStarter,
+    StartReport,
+    lease_name,
+)
+from ._health import ConsecutiveRule, DecayedRule, HealthRule, ServerHealth, WindowRule
+from ._protocol import (
+    Ack,
+    Claim,
+    Epoch,
+    Extend,
+    Granted,
+    Poll,
+    PollReply,
+    Refusal,
+    Release,
+    Reserve,
+    ServerState,
+    Start,
+    Stop,
+    TaskPhase,
+    TaskReport,
+    Throttle,
+)
+from ._watch import LEASE_TTL_S, ServerWatch, WatchListener
+
+__all__ = [
+    "LEASE_TTL_S",
+    "RESERVE_TTL_S",
+    "RUN_TTL_S",
+    "Ack",
+    "BackendClient",
+    "Claim",
+    "ConsecutiveRule",
+    "DecayedRule",
+    "Epoch",
+    "Extend",
+    "GangStart",
+    "GangStarter",
+    "Granted",
+    "HealthRule",
+    "HttpBackendClient",
+    "Poll",
+    "PollReply",
+    "Refusal",
+    "Release",
+    "Reserve",
+    "ServerHealth",
+    "ServerState",
+    "ServerWatch",
+    "Start",
+    "StartReport",
+    "Stop",
+    "TaskPhase",
+    "TaskReport",
+    "Throttle",
+    "WatchListener",
+    "WindowRule",
+    "lease_name",
+]
--- /dev/null
+++ b/libs/membership/src/catkinknot/membership/__init__.py
@@ -0,0 +1,27 @@
+"""Know the other instances, and who schedules an availability zone."""
+
+from ._keeper import ClaimAnswer, Holding, Keeper, TermClaims, TermView
+from ._listing import HttpListing, ListedInstance, Listing
+from ._view import (
+    CROSS_ZONE_PERIOD_S,
+    IN_ZONE_PERIOD_S,
+    Heartbeat,
+    MembershipView,
+    PeerView,
+)
+
+__all__ = [
+    "CROSS_ZONE_PERIOD_S",
+    "IN_ZONE_PERIOD_S",
+    "ClaimAnswer",
+    "Heartbeat",
+    "Holding",
+    "HttpListing",
+    "Keeper",
+    "ListedInstance",
+    "Listing",
+    "MembershipView",
+    "PeerView",
+    "TermClaims",
+    "TermView",
+]
--- /dev/null
+++ b/libs/peers/src/catkinknot/peers/_keys.py
@@ -0,0 +1,100 @@
+"""Encrypt and authenticate the traffic between instances with ZMQ CURVE."""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+from pathlib import Path
+
+import zmq
+from zmq.auth.thread import ThreadAuthenticator
+
+from catkinknot.model import ResultCode
+from catkinknot.model.exceptions import BadInputError
+
+__all__ = ["PeerKeys", "authenticator", "load_peer_keys"]
+
+_KEY_LENGTH = 40
+
+
+@dataclass(frozen=True)
+class PeerKeys:
+    """Hold the key pair that all instances of a deployment share.
+
+    Attributes:
+        public: The public key in Z85.
+        secret: The secret key in Z85.
+    """
+
+    public: bytes
+    secret: bytes
+
+    def secure(self, sock: zmq.Socket, *, server: bool) -> None:
+        """Set the keys on a socket before it binds or connects.
+
+        Args:
+            sock: The socket.
+            server: Whether it binds.
+        """
+        sock.curve_publickey = self.public
+        sock.curve_secretkey = self.secret
+        if server:
+            sock.curve_server = True
+            sock.zap_domain = b"catkinknot"
+        else:
+            sock.curve_serverkey = self.public
+
+
+class _OnlyUs:
+    """Accept only holders of the deployment's own key."""
+
+    def __init__(self, public: bytes) -> None:
+        """Keep the key."""
+        self._public = public
+
+    def callback(self, domain: str, key: bytes) -> bool:
+        """Tell whether a client's public key is the deployment's."""
+        return key == self._public
+
+
+def load_peer_keys(path: str) -> PeerKeys | None:
+    """Read the deployment's secret key.
+
+    Args:
+        path: The key file, empty for none.
+
+    Returns:
+        The keys, None when no file is named.
+
+    Raises:
+        BadInputError: When the file holds no key.
+    """
+    if not path:
+        return None
+    secret = Path(path).read_text().strip().encode()
+    if len(secret) != _KEY_LENGTH:
+        reason = f"{path}: a ZMQ CURVE secret key has {_KEY_LENGTH} characters"
+        raise BadInputError(ResultCode.BAD_SETTINGS, [reason])
+    return PeerKeys(zmq.curve_public(secret), secret)
+
+
+@contextmanager
+def authenticator(context: zmq.Context, keys: PeerKeys | None) -> Iterator[None]:
+    """Check the keys of connecting peers while the block runs.
+
+    Args:
+        context: The context of the sockets.
+        keys: The deployment's keys, None to check nothing.
+
+    Yields:
+        Nothing.
+    """
+    if keys is None:
+        yield
+        return
+    auth = ThreadAuthenticator(context)
+    auth.start()
+    auth.configure_curve_callback("*", credentials_provider=_OnlyUs(keys.public))
+    try:
+        yield
+    finally:
+        auth.stop()
--- /dev/null
+++ b/libs/placement/src/catkinknot/placement/_cells.py
@@ -0,0 +1,105 @@
+"""Cut the accelerators of one server into aligned cells.
+
+A cell of n accelerators starts at a multiple of the next power of two. Cells
+of different sizes then either nest or keep clear of each other, which is what
+makes packing them exact (buddy allocation, as the cell hierarchy of HiveD,
+OSDI 2020, uses it for guarantees).
+"""
+
+from functools import cache
+
+__all__ = ["bits", "cell_masks", "cell_size", "free_levels", "largest_cell"]
+
+
+def cell_size(accelerators: int) -> int:
+    """Return the power of two that holds a number of accelerators.
+
+    Args:
+        accelerators: One or more.
+
+    Returns:
+        The size of the aligned cell.
+    """
+    return 1 << (accelerators - 1).bit_length()
+
+
+@cache
+def cell_masks(server_size: int, accelerators: int) -> tuple[int, ...]:
+    """List the places for a number of adjacent accelerators in one server.
+
+    Args:
+        server_size: Accelerators in the server.
+        accelerators: Adjacent accelerators wanted, at most the server's.
+
+    Returns:
+        A bit mask for each place, lowest first.
+    """
+    step = cell_size(accelerators)
+    block = (1 << accelerators) - 1
+    starts = range(0, server_size - accelerators + 1, step)
+    return tuple(block << start for start in starts)
+
+
+@cache
+def free_levels(server_size: int, free: int) -> tuple[int, ...]:
+    """Count the largest aligned cells that make up the free accelerators.
+
+    Args:
+        server_size: Accelerators in the server.
+        free: A bit mask of the free ones.
+
+    Returns:
+        The number of cells of 1, 2, 4, ... accelerators.
+    """
+    top = cell_size(server_size).bit_length() - 1
+    counts = [0] * (top + 1)
+    _count_cells(free, 0, top, counts)
+    return tuple(counts)
+
+
+@cache
+def largest_cell(server_size: int, free: int, mask: int) -> int:
+    """Return the size of the largest free cell around a place.
+
+    Args:
+        server_size: Accelerators in the server.
+        free: A bit mask of the free ones.
+        mask: The place, all of it free.
+
+    Returns:
+        The cell's size in accelerators.
+    """
+    size = cell_size(server_size)
+    while size > 1:
+        for start in range(0, cell_size(server_size), size):
+            block = ((1 << size) - 1) << start
+            if block & mask == mask and block & free == block:
+                return size
+        size >>= 1
+    return 1
+
+
+def bits(mask: int) -> int:
+    """Count the accelerators in a bit mask."""
+    return mask.bit_count()
+
+
+def _count_cells(free: int, start: int, level: int, counts: list[int]) -> None:
+    """Count the largest free cells inside one cell.
+
+    Args:
+        free: A bit mask of the free accelerators.
+        start: The first accelerator of the cell.
+        level: The cell's size as a power of two.
+        counts: The counts to add to, by level.
+    """
+    block = ((1 << (1 << level)) - 1) << start
+    inside = free & block
+    if inside == 0:
+        return
+    if inside == block:
+        counts[level] += 1
+        return
+    half = 1 << (level - 1)
+    _count_cells(free, start, level - 1, counts)
+    _count_cells(free, start + half, level - 1, counts)
--- /dev/null
+++ b/libs/placement/src/catkinknot/placement/_fleet.py
@@ -0,0 +1,837 @@
+"""Keep track of who holds which accelerators in one availability zone."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field, replace
+from itertools import chain
+
+from ._cells import bits, cell_masks, largest_cell
+from ._pack import Room, unpacked_shapes
+
+__all__ = [
+    "Allocation",
+    "Fleet",
+    "Placement",
+    "Plan",
+    "Shape",
+    "Slice",
+    "Slot",
+]
+
+
+@dataclass(frozen=True)
+class Slot:
+    """Describe one backend server of the zone.
+
+    Attributes:
+        server: The server's name.
+        rack: Its rack, numbered along the row.
+        size: Its accelerators.
+    """
+
+    server: str
+    rack: int
+    size: int
+
+
+@dataclass(frozen=True)
+class Slice:
+    """Name some accelerators of one server.
+
+    Attributes:
+        server: The server's name.
+        mask: A bit mask of the accelerators.
+    """
+
+    server: str
+    mask: int
+
+
+@dataclass(frozen=True)
+class Placement:
+    """Name all accelerators of one gang.
+
+    Attributes:
+        slices: The accelerators on each server.
+    """
+
+    slices: tuple[Slice, ...]
+
+    @property
+    def accelerators(self) -> int:
+        """How many accelerators there are in all."""
+        return sum(bits(part.mask) for part in self.slices)
+
+
+@dataclass
+class Shape:
+    """Hold one guaranteed shape of a workspace.
+
+    While any job runs on the guarantee, the shape is bound to one place, and
+    no other workspace's guaranteed job may enter it. Releasing the last job
+    frees the whole place, so the shape always fits again.
+
+    Attributes:
+        workspace: Whose it is.
+        accelerators: Its size.
+        place: Where it is bound, None while it is not in use.
+        jobs: The allocations that run in it on the guarantee.
+    """
+
+    workspace: str
+    accelerators: int
+    place: Placement | None = None
+    jobs: set[str] = field(default_factory=set)
+
+
+@dataclass(frozen=True)
+class Allocation:
+    """Hold the accelerators of one running gang.
+
+    Attributes:
+        name: A unique name.
+        workspace: Whose job it is.
+        placement: Its accelerators.
+        stoppable: Whether it may be stopped for others.
+        shape: The guaranteed shape it runs in, None when it borrows.
+    """
+
+    name: str
+    workspace: str
+    placement: Placement
+    stoppable: bool
+    shape: Shape | None = None
+
+
+@dataclass(frozen=True)
+class Plan:
+    """Propose where a gang could go.
+
+    Attributes:
+        placement: Its accelerators.
+        victims: Allocations to stop first.
+        shape: The guaranteed shape to charge, None when it borrows.
+        bind: The place to bind the shape to, None when it is bound already.
+    """
+
+    placement: Placement
+    victims: tuple[str, ...] = ()
+    shape: Shape | None = None
+    bind: Placement | None = None
+
+
+Cost = Callable[[str], float]
+"""Tell what stopping an allocation loses, in accelerator-seconds."""
+
+
+@dataclass
+class _Server:
+    """Hold the masks of one server.
+
+    Attributes:
+        slot: What it is.
+        used: Accelerators of any allocation.
+        fixed: Accelerators of borrowers that may not be stopped.
+        charged: Accelerators of jobs that run on a guarantee.
+        bound: Accelerators of bound shapes.
+        held: Accelerators kept for a gang whose victims are still stopping.
+        off: Whether nothing new may be placed on it.
+        owners: The allocations on it.
+    """
+
+    slot: Slot
+    used: int = 0
+    fixed: int = 0
+    charged: int = 0
+    bound: int = 0
+    held: int = 0
+    off: bool = False
+    owners: dict[str, int] = field(default_factory=dict)
+
+    @property
+    def free(self) -> int:
+        """Accelerators that nobody uses."""
+        return 0 if self.off else self.whole & ~(self.used | self.held)
+
+    @property
+    def whole(self) -> int:
+        """All accelerators of the server."""
+        return (1 << self.slot.size) - 1
+
+    @property
+    def claimable(self) -> int:
+        """Accelerators that an unbound shape can get by stopping borrowers."""
+        return 0 if self.off else self.whole & ~(self.fixed | self.bound | self.held)
+
+    def owners_in(self, mask: int) -> set[str]:
+        """Return the allocations that use any of some accelerators."""
+        return {name for name, held in self.owners.items() if held & mask}
+
+
+class Fleet:
+    """Place gangs on the servers of one zone and keep every guarantee.
+
+    Invariant: all shapes that are not bound can be packed at once into the
+    accelerators left after stopping only borrowers that may be stopped.
+    """
+
+    def __init__(self, slots: Iterable[Slot]) -> None:
+        """Start with an empty zone.
+
+        Args:
+            slots: The zone's servers.
+        """
+        ordered = sorted(slots, key=lambda slot: (slot.rack, slot.server))
+        self._servers = {slot.server: _Server(slot) for slot in ordered}
+        self._order = list(self._servers.values())
+        self._racks = self._group_racks()
+        self._allocations: dict[str, Allocation] = {}
+        self._holds: dict[str, Plan] = {}
+        self._shapes: list[Shape] = []
+
+    @property
+    def allocations(self) -> dict[str, Allocation]:
+        """All running allocations by name."""
+        return self._allocations
+
+    @property
+    def accelerators(self) -> int:
+        """Accelerators on servers that may be used."""
+        return sum(server.slot.size for server in self._order if not server.off)
+
+    @property
+    def free_accelerators(self) -> int:
+        """Accelerators that nobody uses."""
+        return sum(bits(server.free) for server in self._order)
+
+    @property
+    def largest_gang(self) -> int:
+        """Accelerators of all servers, which no gang can exceed."""
+        return sum(server.slot.size for server in self._order)
+
+    def rack_accelerators(self) -> int:
+        """Return the accelerators of the largest rack."""
+        return max(
+            (sum(server.slot.size for server in rack) for rack in self._racks.values()), default=0
+        )
+
+    def set_shapes(self, shapes: Iterable[tuple[str, int]]) -> None:
+        """Put other guarantees in force.
+
+        Shapes in use stay bound if they are still promised; jobs that run on
+        one that is not become borrowers.
+
+        Args:
+            shapes: The workspace and size of each shape.
+        """
+        old = [shape for shape in self._shapes if shape.place is not None]
+        self._shapes = []
+        for workspace, accelerators in shapes:
+            match = _same_shape(old, workspace, accelerators)
+            if match is not None:
+                old.remove(match)
+            self._shapes.append(match or Shape(workspace, accelerators))
+        for shape in old:
+            self._unbind(shape)
+
+    def add_server(self, slot: Slot) -> None:
+        """Add a server, or do nothing when it is known.
+
+        Args:
+            slot: The server.
+        """
+        if slot.server in self._servers:
+            return
+        self._servers[slot.server] = _Server(slot)
+        by_place = sorted(self._servers.values(), key=lambda s: (s.slot.rack, s.slot.server))
+        self._servers = {server.slot.server: server for server in by_place}
+        self._order = by_place
+        self._racks = self._group_racks()
+
+    def set_off(self, server: str, off: bool) -> None:
+        """Allow or forbid new work on a server.
+
+        Args:
+            server: The server's name.
+            off: Whether to forbid it.
+        """
+        if server in self._servers:
+            self._servers[server].off = off
+
+    def is_off(self, server: str) -> bool:
+        """Tell whether a server takes no new work."""
+        known = self._servers.get(server)
+        return known is None or known.off
+
+    def slot(self, server: str) -> Slot | None:
+        """Return what is known of a server, or None."""
+        known = self._servers.get(server)
+        return known.slot if known else None
+
+    def owners(self, server: str) -> list[str]:
+        """Return the allocations on a server."""
+        known = self._servers.get(server)
+        return list(known.owners) if known else []
+
+    def neighbourhoods(self, accelerators: int, *, across_racks: bool) -> list[list[str]]:
+        """List the groups of neighbouring servers that could hold a gang.
+
+        Args:
+            accelerators: The gang's size.
+            across_racks: Whether it may span neighbouring racks.
+
+        Returns:
+            Server names: single servers for a small gang, else racks, else
+            runs of racks.
+        """
+        largest = max((s.slot.size for s in self._order), default=0)
+        if accelerators <= largest:
+            return [[s.slot.server] for s in self._order if s.slot.size >= accelerators]
+        racks = [[s.slot.server for s in self._racks[rack]] for rack in sorted(self._racks)]
+        per_rack = max(self.rack_accelerators(), 1)
+        if accelerators <= per_rack or not across_racks:
+            return racks
+        span = -(-accelerators // per_rack) + 1
+        return [list(chain(*racks[first : first + span])) for first in range(len(racks))]
+
+    def unhonoured(self) -> tuple[int, ...]:
+        """Return the unbound shapes that could not be packed now."""
+        return unpacked_shapes(self._rooms(), self._unbound())
+
+    def guaranteed_room(self, workspace: str, accelerators: int) -> bool:
+        """Tell whether a workspace's guarantee has room for a gang.
+
+        Args:
+            workspace: The workspace.
+            accelerators: The gang's size.
+
+        Returns:
+            Whether an unbound shape or a bound one with room is large enough.
+        """
+        for shape in self._shapes:
+            if shape.workspace == workspace and shape.accelerators >= accelerators:
+                used = self._charged_in(shape)
+                if shape.place is None or shape.accelerators - used >= accelerators:
+                    return True
+        return False
+
+    def take(self, name: str, workspace: str, plan: Plan, *, stoppable: bool) -> Allocation:
+        """Hold the accelerators of a plan.
+
+        Args:
+            name: A unique name for the allocation.
+            workspace: Whose job it is.
+            plan: Where it goes; its victims must have been released.
+            stoppable: Whether it may be stopped for others.
+
+        Returns:
+            The allocation.
+
+        Raises:
+            ValueError: When an accelerator is in use or the name is taken.
+        """
+        self._check_free(name, plan.placement)
+        if plan.shape is not None and plan.shape.place is None:
+            self._bind(plan.shape, plan.bind or plan.placement)
+        allocation = Allocation(name, workspace, plan.placement, stoppable, plan.shape)
+        self._allocations[name] = allocation
+        for part in plan.placement.slices:
+            server = self._servers[part.server]
+            server.used |= part.mask
+            server.owners[name] = part.mask
+            if plan.shape is not None:
+                server.charged |= part.mask
+            elif not stoppable:
+                server.fixed |= part.mask
+        if plan.shape is not None:
+            plan.shape.jobs.add(name)
+        return allocation
+
+    def hold(self, name: str, plan: Plan) -> None:
+        """Keep a place for a gang until its victims have stopped.
+
+        Args:
+            name: The name that the allocation will have.
+            plan: Where it will go.
+        """
+        self._holds[name] = plan
+        if plan.shape is not None:
+            if plan.shape.place is None:
+                self._bind(plan.shape, plan.bind or plan.placement)
+            plan.shape.jobs.add(name)
+        for part in plan.placement.slices:
+            self._servers[part.server].held |= part.mask
+
+    def held_plan(self, name: str) -> Plan | None:
+        """Return the plan that is held under a name, or None."""
+        return self._holds.get(name)
+
+    def hold_ready(self, name: str) -> bool:
+        """Tell whether all victims of a held plan are gone."""
+        parts = self._holds[name].placement.slices
+        return not any(self._servers[part.server].used & part.mask for part in parts)
+
+    def hold_broken(self, name: str) -> bool:
+        """Tell whether a server of a held plan takes no new work any more."""
+        return any(self._servers[p.server].off for p in self._holds[name].placement.slices)
+
+    def drop_hold(self, name: str) -> None:
+        """Give up a held place; unknown names are ignored.
+
+        Args:
+            name: The name it is held under.
+        """
+        plan = self._holds.pop(name, None)
+        if plan is None:
+            return
+        for part in plan.placement.slices:
+            self._servers[part.server].held &= ~part.mask
+        if plan.shape is not None:
+            plan.shape.jobs.discard(name)
+            if not plan.shape.jobs:
+                self._unbind(plan.shape)
+
+    def release(self, name: str) -> None:
+        """Free the accelerators of an allocation; unknown names are ignored.
+
+        Args:
+            name: The allocation's name.
+        """
+        allocation = self._allocations.pop(name, None)
+        if allocation is None:
+            return
+        for part in allocation.placement.slices:
+            server = self._servers[part.server]
+            server.used &= ~part.mask
+            server.fixed &= ~part.mask
+            server.charged &= ~part.mask
+            del server.owners[name]
+        shape = allocation.shape
+        if shape is not None:
+            shape.jobs.discard(name)
+            if not shape.jobs:
+                self._unbind(shape)
+
+    def find_free(
+        self,
+        accelerators: int,
+        *,
+        stoppable: bool,
+        across_racks: bool = False,
+        avoid: frozenset[str] = frozenset(),
+    ) -> Plan | None:
+        """Find a place that nobody uses, for a borrower.
+
+        Among the places that fit it takes the one that breaks the smallest
+        free cell, so that the largest cells and racks stay whole.
+
+        Args:
+            accelerators: The gang's size.
+            stoppable: Whether the borrower may be stopped. If not, the place
+                must leave all guarantees packable.
+            across_racks: Whether it may span neighbouring racks.
+            avoid: Servers that are kept for others.
+
+        Returns:
+            The plan, None when there is no such place.
+        """
+        for placement in self._free_places(accelerators, across_racks, avoid):
+            if stoppable or self._keeps_guarantees(placement):
+                return Plan(placement)
+        return None
+
+    def find_guaranteed(
+        self,
+        workspace: str,
+        accelerators: int,
+        *,
+        cost: Cost,
+        across_racks: bool = False,
+        keep: frozenset[str] = frozenset(),
+    ) -> Plan | None:
+        """Find a place on a workspace's guarantee, stopping borrowers if need be.
+
+        Args:
+            workspace: Whose guarantee to use.
+            accelerators: The gang's size.
+            cost: What stopping an allocation loses.
+            across_racks: Whether it may span neighbouring racks.
+            keep: Allocations that must not be stopped.
+
+        Returns:
+            The cheapest plan, None when the guarantee has no room.
+        """
+        plans = []
+        for shape in self._shapes:
+            if shape.workspace != workspace or shape.accelerators < accelerators:
+                continue
+            if shape.place is not None:
+                plans += self._plans_inside(shape, accelerators)
+        plan = self._cheapest(plans, cost, keep)
+        if plan is not None and not plan.victims:
+            return plan
+        fresh = self._plan_fresh(workspace, accelerators, cost, across_racks, keep)
+        return self._cheapest([p for p in (plan, fresh) if p is not None], cost, keep)
+
+    def find_preempting(
+        self,
+        accelerators: int,
+        *,
+        cost: Cost,
+        across_racks: bool = False,
+        stoppable: bool,
+        may_stop: Callable[[str], bool],
+    ) -> Plan | None:
+        """Find a place for a borrower by stopping other borrowers.
+
+        Args:
+            accelerators: The gang's size.
+            cost: What stopping an allocation loses.
+            across_racks: Whether it may span neighbouring racks.
+            stoppable: Whether this borrower may be stopped itself.
+            may_stop: Which allocations may be stopped for it.
+
+        Returns:
+            The cheapest plan, None when there is none.
+        """
+        keep = frozenset(name for name in self._allocations if not may_stop(name))
+        usable = {
+            server.slot.server: 0
+            if server.off
+            else server.whole & ~(server.charged | server.fixed | server.held)
+            for server in self._order
+        }
+        plans = [
+            Plan(place, self._victims(place))
+            for place in self._places(accelerators, usable, across_racks, cost)
+            if stoppable or self._keeps_guarantees(place)
+        ]
+        return self._cheapest(plans, cost, keep)
+
+    def keeps_guarantees(self, placement: Placement) -> bool:
+        """Tell whether a borrower that can't be stopped may go to a place."""
+        return self._keeps_guarantees(placement)
+
+    def _group_racks(self) -> dict[int, list[_Server]]:
+        """Group the servers by rack."""
+        racks: dict[int, list[_Server]] = {}
+        for server in self._order:
+            racks.setdefault(server.slot.rack, []).append(server)
+        return racks
+
+    def _rooms(self, blocked: dict[str, int] | None = None) -> list[Room]:
+        """Describe what unbound shapes can claim.
+
+        Args:
+            blocked: Further accelerators that are not available.
+
+        Returns:
+            One room for each server.
+        """
+        blocked = blocked or {}
+        return [
+            Room(s.slot.rack, s.slot.size, s.claimable & ~blocked.get(s.slot.server, 0))
+            for s in self._order
+        ]
+
+    def _unbound(self, but: Shape | None = None) -> list[int]:
+        """Return the sizes of the shapes that are not bound."""
+        return [s.accelerators for s in self._shapes if s.place is None and s is not but]
+
+    def _keeps_guarantees(self, placement: Placement, but: Shape | None = None) -> bool:
+        """Tell whether blocking a place leaves no more shapes unpacked.
+
+        Args:
+            placement: The place to be blocked.
+            but: A shape that need not be packed, as it is the one going there.
+
+        Returns:
+            Whether the guarantees are no worse off.
+        """
+        blocked = {part.server: part.mask for part in placement.slices}
+        if but is None and self._touches_bound(placement):
+            return False
+        after = unpacked_shapes(self._rooms(blocked), self._unbound(but))
+        if not after:
+            return True
+        return sum(after) <= sum(unpacked_shapes(self._rooms(), self._unbound(but)))
+
+    def _touches_bound(self, placement: Placement) -> bool:
+        """Tell whether a place lies in a shape that is bound."""
+        return any(self._servers[p.server].bound & p.mask for p in placement.slices)
+
+    def _check_free(self, name: str, placement: Placement) -> None:
+        """Refuse a place that is in use."""
+        if name in self._allocations:
+            raise ValueError(f"{name} holds accelerators already")
+        for part in placement.slices:
+            if self._servers[part.server].used & part.mask:
+                raise ValueError(f"accelerators of {part.server} are in use")
+
+    def _bind(self, shape: Shape, place: Placement) -> None:
+        """Bind a shape to a place."""
+        shape.place = place
+        for part in place.slices:
+            self._servers[part.server].bound |= part.mask
+
+    def _unbind(self, shape: Shape) -> None:
+        """Free the place of a shape and turn its jobs into borrowers."""
+        place, shape.place = shape.place, None
+        if place is None:
+            return
+        for part in place.slices:
+            self._servers[part.server].bound &= ~part.mask
+        for name in shape.jobs:
+            if name in self._allocations:
+                self._make_borrower(name)
+            else:
+                self._holds[name] = replace(self._holds[name], shape=None, bind=None)
+        shape.jobs.clear()
+
+    def _make_borrower(self, name: str) -> None:
+        """Let a job that ran on a guarantee go on as a borrower."""
+        old = self._allocations[name]
+        self._allocations[name] = Allocation(
+            name, old.workspace, old.placement, old.stoppable, shape=None
+        )
+        for part in old.placement.slices:
+            server = self._servers[part.server]
+            server.charged &= ~part.mask
+            if not old.stoppable:
+                server.fixed |= part.mask
+
+    def _charged_in(self, shape: Shape) -> int:
+        """Count the accelerators that run on a shape."""
+        total = 0
+        for name in shape.jobs:
+            held = self._allocations.get(name) or self._holds[name]
+            total += held.placement.accelerators
+        return total
+
+    def _victims(self, placement: Placement) -> tuple[str, ...]:
+        """Return the allocations that use any of a place."""
+        names: set[str] = set()
+        for part in placement.slices:
+            names |= self._servers[part.server].owners_in(part.mask)
+        return tuple(sorted(names))
+
+    def _cheapest(self, plans: list[Plan], cost: Cost, keep: frozenset[str]) -> Plan | None:
+        """Return the plan whose victims lose least.
+
+        Args:
+            plans: The plans.
+            cost: What stopping an allocation loses.
+            keep: Allocations that must not be stopped.
+
+        Returns:
+            The cheapest plan that stops only what may be stopped, or None.
+        """
+        best = None
+        best_cost = 0.0
+        for plan in plans:
+            if not self._may_stop_all(plan.victims, keep):
+                continue
+            total = sum(cost(name) for name in plan.victims)
+            if best is None or total < best_cost:
+                best, best_cost = plan, total
+        return best
+
+    def _may_stop_all(self, victims: tuple[str, ...], keep: frozenset[str]) -> bool:
+        """Tell whether every victim is a borrower that may be stopped."""
+        for name in victims:
+            allocation = self._allocations[name]
+            if name in keep or allocation.shape is not None or not allocation.stoppable:
+                return False
+        return True
+
+    def _plans_inside(self, shape: Shape, accelerators: int) -> list[Plan]:
+        """List the places for a gang inside a bound shape."""
+        inside = {
+            part.server: 0
+            if self._servers[part.server].off
+            else part.mask & ~(self._servers[part.server].charged | self._servers[part.server].held)
+            for part in shape.place.slices
+        }
+        plans = []
+        for place in self._places(accelerators, inside, True, lambda _: 0.0):
+            plans.append(Plan(place, self._victims(place), shape))
+        return plans
+
+    def _plan_fresh(
+        self, workspace: str, accelerators: int, cost: Cost, across: bool, keep: frozenset[str]
+    ) -> Plan | None:
+        """Bind a further shape at the cheapest place that keeps the others."""
+        unbound = [
+            s
+            for s in self._shapes
+            if s.workspace == workspace and s.place is None and s.accelerators >= accelerators
+        ]
+        if not unbound:
+            return None
+        shape = min(unbound, key=lambda s: s.accelerators)
+        claimable = {server.slot.server: server.claimable for server in self._order}
+        across = across or shape.accelerators > self.rack_accelerators()
+        ranked = []
+        for bind in self._places(shape.accelerators, claimable, across, cost):
+            for place in self._sub_places(bind, accelerators):
+                victims = self._victims(place)
+                if self._may_stop_all(victims, keep):
+                    total = sum(cost(name) for name in victims)
+                    ranked.append((total, self._breaks(bind), Plan(place, victims, shape, bind)))
+        ranked.sort(key=lambda row: row[:2])
+        for _, _, plan in ranked:
+            if self._keeps_guarantees(plan.bind, but=shape):
+                return plan
+        return None
+
+    def _sub_places(self, bind: Placement, accelerators: int) -> list[Placement]:
+        """List the places for a gang inside a place."""
+        if bind.accelerators == accelerators:
+            return [bind]
+        inside = {part.server: part.mask for part in bind.slices}
+        return self._places(accelerators, inside, True, lambda _: 0.0)
+
+    def _breaks(self, place: Placement) -> int:
+        """Return the size of the largest claimable cell that a place breaks."""
+        part = place.slices[0]
+        server = self._servers[part.server]
+        whole_servers = self._whole_claimable(server.slot.rack)
+        cell = largest_cell(server.slot.size, server.claimable | part.mask, part.mask)
+        return cell * 64 + whole_servers
+
+    def _whole_claimable(self, rack: int) -> int:
+        """Count the servers of a rack that an unbound shape can claim whole."""
+        return sum(1 for server in self._racks[rack] if server.claimable == server.whole)
+
+    def _free_places(
+        self, accelerators: int, across: bool, avoid: frozenset[str]
+    ) -> list[Placement]:
+        """List free places, the one that breaks least first."""
+        usable = {s.slot.server: 0 if s.slot.server in avoid else s.free for s in self._order}
+        whole_free = {
+            rack: sum(1 for s in servers if usable[s.slot.server] == s.whole)
+            for rack, servers in self._racks.items()
+        }
+        places = self._places(accelerators, usable, across, lambda _: 0.0)
+        return sorted(places, key=lambda place: self._rank(place, usable, whole_free))
+
+    def _rank(
+        self, place: Placement, usable: dict[str, int], whole_free: dict[int, int]
+    ) -> tuple[int, ...]:
+        """Rank a free place by what stays placeable after it.
+
+        Args:
+            place: The place.
+            usable: Free accelerators of each server.
+            whole_free: Free whole servers of each rack.
+
+        Returns:
+            A key that sorts the best place first.
+        """
+        part = place.slices[0]
+        server = self._servers[part.server]
+        broken = largest_cell(server.slot.size, usable[part.server], part.mask)
+        bound = int(self._touches_bound(place))
+        return (bound, len(place.slices), broken, whole_free[server.slot.rack], server.slot.rack)
+
+    def _places(
+        self, accelerators: int, usable: dict[str, int], across: bool, cost: Cost
+    ) -> list[Placement]:
+        """List places for a gang within some accelerators.
+
+        Args:
+            accelerators: The gang's size.
+            usable: A bit mask of the usable accelerators of each server.
+            across: Whether it may span neighbouring racks.
+            cost: What stopping an allocation loses, to choose whole servers.
+
+        Returns:
+            The places, in the order of the servers.
+        """
+        largest = max((self._servers[name].slot.size for name in usable), default=0)
+        if accelerators <= largest:
+            return self._cell_places(accelerators, usable)
+        places = []
+        for rack in self._racks.values():
+            place = self._gang_place(accelerators, rack, usable, cost)
+            if place is not None:
+                places.append(place)
+        if not places and across:
+            places = self._window_places(accelerators, usable, cost)
+        return places
+
+    def _cell_places(self, accelerators: int, usable: dict[str, int]) -> list[Placement]:
+        """List the cells of single servers that a gang fits in."""
+        places = []
+        for name, free in usable.items():
+            size = self._servers[name].slot.size
+            if bits(free) < accelerators or size < accelerators:
+                continue
+            for mask in cell_masks(size, accelerators):
+                if mask & free == mask:
+                    places.append(Placement((Slice(name, mask),)))
+        return places
+
+    def _window_places(
+        self, accelerators: int, usable: dict[str, int], cost: Cost
+    ) -> list[Placement]:
+        """List places that span neighbouring racks."""
+        order = sorted(self._racks)
+        per_rack = max(self.rack_accelerators(), 1)
+        span = -(-accelerators // per_rack) + 1
+        places = []
+        for first in range(len(order)):
+            servers = [s for rack in order[first : first + span] for s in self._racks[rack]]
+            place = self._gang_place(accelerators, servers, usable, cost)
+            if place is not None:
+                places.append(place)
+        return places
+
+    def _gang_place(
+        self, accelerators: int, servers: list[_Server], usable: dict[str, int], cost: Cost
+    ) -> Placement | None:
+        """Take whole servers for a gang, and a cell for what is left over.
+
+        Args:
+            accelerators: The gang's size.
+            servers: Neighbouring servers.
+            usable: A bit mask of the usable accelerators of each server.
+            cost: What stopping an allocation loses.
+
+        Returns:
+            The place, None when there are too few whole servers.
+        """
+        whole = [s for s in servers if usable.get(s.slot.server, 0) == s.whole]
+        whole.sort(key=lambda s: sum(cost(name) for name in s.owners))
+        slices = []
+        left = accelerators
+        for server in whole:
+            if left < server.slot.size:
+                break
+            slices.append(Slice(server.slot.server, server.whole))
+            left -= server.slot.size
+        if left == 0:
+            return Placement(tuple(slices))
+        taken = {part.server for part in slices}
+        rest = {s.slot.server: usable.get(s.slot.server, 0) for s in servers}
+        rest = {name: free for name, free in rest.items() if name not in taken}
+        if left >= min((s.slot.size for s in servers), default=0):
+            return None
+        cells = self._cell_places(left, rest)
+        if not cells:
+            return None
+        best = min(cells, key=lambda cell: self._leftover_rank(cell, rest))
+        return Placement((*slices, *best.slices))
+
+    def _leftover_rank(self, cell: Placement, rest: dict[str, int]) -> int:
+        """Rank a cell for the rest of a gang: the smallest broken first."""
+        part = cell.slices[0]
+        size = self._servers[part.server].slot.size
+        return largest_cell(size, rest[part.server], part.mask)
+
+
+def _same_shape(shapes: list[Shape], workspace: str, accelerators: int) -> Shape | None:
+    """Find a shape of the same owner and size, or None."""
+    for shape in shapes:
+        if (shape.workspace, shape.accelerators) == (workspace, accelerators):
+            return shape
+    return None
--- /dev/null
+++ b/libs/platformlog/src/catkinknot/platformlog/__init__.py
@@ -0,0 +1,58 @@
+"""Keep what instances must agree on, on the platform's append-only log."""
+
+from ._appender import Appender, AppendFuture
+from ._client import HttpLogClient, LogClient, NewEntry, Page
+from ._reader import Applied, LogReader
+from ._records import (
+    AttemptCleared,
+    CancelRequested,
+    ConfigPublished,
+    Entry,
+    JobAccepted,
+    JobEnded,
+    Record,
+    SnapshotTaken,
+    StartIntended,
+    ZoneClaimed,
+    decode_record,
+    encode_record,
+)
+from ._state import (
+    ConfigInForce,
+    DurableJob,
+    LogState,
+    Verdict,
+    ZoneTerm,
+    pack_state,
+    unpack_state,
+)
+
+__all__ = [
+    "AppendFuture",
+    "Appender",
+    "Applied",
+    "AttemptCleared",
+    "CancelRequested",
+    "ConfigInForce",
+    "ConfigPublished",
+    "DurableJob",
+    "Entry",
+    "HttpLogClient",
+    "JobAccepted",
+    "JobEnded",
+    "LogClient",
+    "LogReader",
+    "LogState",
+    "NewEntry",
+    "Page",
+    "Record",
+    "SnapshotTaken",
+    "StartIntended",
+    "Verdict",
+    "ZoneClaimed",
+    "ZoneTerm",
+    "decode_record",
+    "encode_record",
+    "pack_state",
+    "unpack_state",
+]
--- /dev/null
+++ b/libs/scheduler/src/catkinknot/scheduler/__init__.py
@@ -0,0 +1,18 @@
+"""Decide which jobs of one availability zone start, stop or are dropped."""
+
+from ._accounts import Accounts
+from ._decisions import Decision, DropJob, StartJob, StopJob
+from ._job import Job, JobState
+from ._planner import Planner, zone_slots
+
+__all__ = [
+    "Accounts",
+    "Decision",
+    "DropJob",
+    "Job",
+    "JobState",
+    "Planner",
+    "StartJob",
+    "StopJob",
+    "zone_slots",
+]
--- /dev/null
+++ b/libs/scheduler/src/catkinknot/scheduler/_planner.py
@@ -0,0 +1,699 @@
+"""Decide which job of one zone starts, stops or is dropped next."""
+
+from collections.abc import Iterable
+
+from catkinknot.admission import CallerLimiter, JobQueue, RunTimeEstimator
+from catkinknot.model import Configuration, JobId, ResultCode, Zone
+from catkinknot.model.exceptions import RefusedError
+from catkinknot.placement import Fleet, Placement, Plan, Slot
+
+from ._accounts import Accounts
+from ._decisions import Decision, DropJob, StartJob, StopJob
+from ._job import Job, JobState
+from ._reserve import Reservation, choose_servers
+
+__all__ = ["Planner", "zone_slots"]
+
+_ACCRUE_S = 5.0
+"""Charge running jobs at least this often."""
+
+_RESERVE_AFTER_S = 5.0
+"""Keep room for a job that has waited this long and does not fit."""
+
+_MAX_RESERVATIONS = 2
+_SCAN_LIMIT = 2000
+"""Look at no more than this many waiting jobs in one pass."""
+
+_URGENT = 7
+"""From this urgency on, a borrower may stop much less urgent borrowers."""
+
+_URGENCY_GAP = 3
+_CHECKPOINT_LOSS_S = 1.0
+"""Seconds of work that a checkpoint and a restart cost."""
+
+_MAX_FAILED_SERVERS = 3
+"""A job that failed on this many servers can never run."""
+
+_RETRY_PAUSE_S = 0.5
+
+
+def zone_slots(zone: Zone) -> list[Slot]:
+    """List the servers that a configured zone should have.
+
+    Args:
+        zone: The zone.
+
+    Returns:
+        One slot for each server, named ``ZONE-sNNN``.
+    """
+    return [
+        Slot(f"{zone.name}-s{n:03}", n // zone.servers_per_rack, zone.accelerators_per_server)
+        for n in range(zone.servers)
+    ]
+
+
+class Planner:
+    """Hold the jobs and the servers of one zone, and decide.
+
+    It is not safe for use by several threads at once; its owner locks. Every
+    call gets the present time, so that tests can step it.
+    """
+
+    def __init__(
+        self, cfg: Configuration, zone: str, *, fleet: Fleet | None = None, guard: bool = True
+    ) -> None:
+        """Start with nothing running.
+
+        Args:
+            cfg: The configuration in force.
+            zone: The availability zone to decide for.
+            fleet: The zone's servers, by default those of the configuration.
+            guard: Whether to keep room for large gangs and stop borrowers;
+                without it the planner serves as a baseline.
+        """
+        self._zone = zone
+        self._guard = guard
+        found = cfg.zone(zone)
+        self.fleet = fleet or Fleet(zone_slots(found) if found else [])
+        self.estimator = RunTimeEstimator()
+        self.accounts = Accounts()
+        self._queue = JobQueue()
+        self._limiter = CallerLimiter()
+        self._jobs: dict[JobId, Job] = {}
+        self._named: dict[str, Job] = {}
+        self._reservations: list[Reservation] = []
+        self._accrued_s = 0.0
+        self.configure(cfg)
+
+    def configure(self, cfg: Configuration) -> None:
+        """Put another configuration in force.
+
+        Args:
+            cfg: The configuration.
+        """
+        self._cfg = cfg
+        shapes = [
+            (workspace.name, shape.accelerators)
+            for workspace in cfg.workspaces
+            for shape in workspace.guarantee
+            for _ in range(shape.count)
+            if shape.zone == self._zone
+        ]
+        self.fleet.set_shapes(shapes)
+        self.accounts.configure(cfg, self._zone)
+
+    @property
+    def waiting(self) -> int:
+        """How many jobs wait."""
+        return len(self._queue)
+
+    @property
+    def unfinished(self) -> int:
+        """How many jobs there are in all."""
+        return len(self._jobs)
+
+    def job(self, job_id: JobId) -> Job | None:
+        """Find an unfinished job, or None."""
+        return self._jobs.get(job_id)
+
+    def jobs(self) -> Iterable[Job]:
+        """Return all unfinished jobs."""
+        return self._jobs.values()
+
+    def lanes(self) -> list[tuple[str, str, int, float]]:
+        """Return workspace, kind, waiting jobs and oldest arrival of each queue."""
+        return self._queue.lanes()
+
+    def submit(self, job: Job, now: float, *, must_take: bool = False) -> None:
+        """Let a job wait for its turn.
+
+        Args:
+            job: The job, not known here yet.
+            now: The present time in seconds.
+            must_take: Whether it was acknowledged already, so that limits no
+                longer apply.
+
+        Raises:
+            RefusedError: When it was not taken and will not run.
+        """
+        if not must_take:
+            self._check_fits(job)
+            self._check_room(job)
+            self._check_deadline(job)
+        limits = self._caller_limits(job)
+        if must_take:
+            limits = (10**9, 10**9)
+        jobs, accelerators = limits
+        if not self._limiter.admit(
+            job.workspace, job.caller, job.accelerators, jobs=jobs, limit=accelerators
+        ):
+            raise RefusedError(
+                f"caller {job.caller} has too much in hand", code=ResultCode.CALLER_LIMIT
+            )
+        self._jobs[job.job_id] = job
+        self._named[str(job.job_id)] = job
+        self._queue.add(job)
+
+    def adopt(self, job: Job, placement: Placement, now: float) -> None:
+        """Take over a job that another holder has started.
+
+        Args:
+            job: The job with its attempt.
+            placement: Where it runs.
+            now: The present time in seconds.
+        """
+        if job.job_id in self._jobs:
+            self._forget(job.job_id)
+        self._jobs[job.job_id] = job
+        self._named[str(job.job_id)] = job
+        limit = 10**9
+        self._limiter.admit(job.workspace, job.caller, job.accelerators, jobs=limit, limit=limit)
+        job.state = JobState.RUNNING
+        job.may_have_run = True
+        job.started_s = now
+        self.fleet.take(str(job.job_id), job.workspace, Plan(placement), stoppable=_stoppable(job))
+        self.accounts.start(job, now)
+
+    def cancel(self, job_id: JobId, now: float) -> list[Decision]:
+        """End a job that its caller gave up.
+
+        Args:
+            job_id: The job.
+            now: The present time in seconds.
+
+        Returns:
+            What to do: drop it when it waits, stop it when it runs, nothing
+            when it is not known.
+        """
+        job = self._jobs.get(job_id)
+        if job is None:
+            return []
+        job.cancelled = True
+        if job.state in (JobState.WAITING, JobState.HELD):
+            self._forget(job_id)
+            code = ResultCode.STOPPED if job.may_have_run else ResultCode.CANCELLED
+            return [DropJob(job, code, "cancelled while it waited")]
+        if job.state is JobState.STOPPING:
+            return []
+        return [self._stop(job, now, checkpoint=False, reason="cancelled")]
+
+    def plan(self, now: float) -> list[Decision]:
+        """Decide everything that can be decided now.
+
+        Args:
+            now: The present time in seconds.
+
+        Returns:
+            The decisions, in the order in which to carry them out.
+        """
+        out: list[Decision] = []
+        self._accrue(now)
+        self._drop_late(now, out)
+        self._settle_holds(now, out)
+        self._plan_guaranteed(now, out)
+        self._plan_spare(now, out)
+        return out
+
+    def ended(self, job_id: JobId, attempt: int, now: float) -> Job | None:
+        """Take note that an attempt ended with a result.
+
+        Args:
+            job_id: The job.
+            attempt: The attempt.
+            now: The present time in seconds.
+
+        Returns:
+            The finished job, None when the attempt is not the current one.
+        """
+        job = self._current(job_id, attempt)
+        if job is None:
+            return None
+        self._record_run(job, now)
+        self._forget(job_id, now)
+        return job
+
+    def failed(self, job_id: JobId, attempt: int, server: str, now: float) -> DropJob | None:
+        """Take note that an attempt failed by itself.
+
+        Args:
+            job_id: The job.
+            attempt: The attempt.
+            server: Where it failed.
+            now: The present time in seconds.
+
+        Returns:
+            The end of the job, None when it will be tried again or the
+            attempt is not the current one.
+        """
+        job = self._current(job_id, attempt)
+        if job is None:
+            return None
+        job.failed_on.add(server)
+        if job.cancelled:
+            return self._drop(job, ResultCode.STOPPED, "cancelled while it ran", now)
+        if not job.kind.idempotent:
+            return self._drop(job, ResultCode.JOB_FAILED, f"failed on {server}", now)
+        if len(job.failed_on) >= _MAX_FAILED_SERVERS or job.attempt > 2 * _MAX_FAILED_SERVERS:
+            reason = f"failed on {len(job.failed_on)} servers"
+            return self._drop(job, ResultCode.JOB_CANNOT_RUN, reason, now)
+        self._wait_again(job, now, pause_s=_RETRY_PAUSE_S * job.attempt)
+        return None
+
+    def not_started(self, job_id: JobId, attempt: int, now: float, *, pause_s: float = 0.0) -> None:
+        """Take note that a start did not happen, so that the job waits again.
+
+        Args:
+            job_id: The job.
+            attempt: The attempt.
+            now: The present time in seconds.
+            pause_s: How long it should wait at least.
+        """
+        job = self._current(job_id, attempt)
+        if job is not None:
+            self._wait_again(job, now, pause_s=pause_s)
+
+    def stopped(
+        self, job_id: JobId, attempt: int, now: float, *, progress_s: float = 0.0
+    ) -> DropJob | None:
+        """Take note that an attempt has stopped before its end.
+
+        Args:
+            job_id: The job.
+            attempt: The attempt.
+            now: The present time in seconds.
+            progress_s: Seconds of work that its checkpoint keeps.
+
+        Returns:
+            The end of the job when it was cancelled, else None.
+        """
+        job = self._current(job_id, attempt)
+        if job is None:
+            return None
+        if job.cancelled:
+            return self._drop(job, ResultCode.STOPPED, "cancelled while it ran", now)
+        job.stops += 1
+        job.progress_s = max(job.progress_s, progress_s)
+        self._wait_again(job, now, front=True)
+        return None
+
+    def drop(self, job_id: JobId, now: float) -> Job | None:
+        """Forget a job whatever its state, as it ended elsewhere.
+
+        Args:
+            job_id: The job.
+            now: The present time in seconds.
+
+        Returns:
+            The job, None when it is not known.
+        """
+        job = self._jobs.get(job_id)
+        if job is not None:
+            self._forget(job_id, now)
+        return job
+
+    def running_on(self, server: str) -> list[Job]:
+        """Return the jobs that use a server."""
+        return [
+            job
+            for job in self._jobs.values()
+            if job.state in (JobState.RUNNING, JobState.STOPPING)
+            and any(p.server == server for p in self.placement(job.job_id).slices)
+        ]
+
+    def placement(self, job_id: JobId) -> Placement:
+        """Return where a job runs, an empty placement when it does not."""
+        allocation = self.fleet.allocations.get(str(job_id))
+        return allocation.placement if allocation else Placement(())
+
+    def predicted_wait_s(self, job: Job) -> float:
+        """Predict how long a job would wait from what was measured.
+
+        Args:
+            job: A job that does not wait yet.
+
+        Returns:
+            Seconds; 0 when nothing of its workspace goes before it.
+        """
+        ahead = 0.0
+        for name in self._queue.kinds(job.workspace):
+            kind = self._cfg.kind(name)
+            if kind is None or kind.urgency < job.kind.urgency:
+                continue
+            run_s = self.estimator.typical_s(job.workspace, name, kind.expected_s)
+            ahead += self._queue.asked_accelerators(job.workspace, name) * run_s
+        guaranteed = self.accounts.guaranteed(job.workspace)
+        pace = max(guaranteed, self.accounts.running(job.workspace), 1)
+        return ahead / pace
+
+    def _check_fits(self, job: Job) -> None:
+        """Refuse a gang that no place of the zone could ever hold."""
+        most = self.fleet.largest_gang
+        if not job.kind.across_racks:
+            most = min(most, self.fleet.rack_accelerators())
+        if job.accelerators > most:
+            raise RefusedError(
+                f"{job.accelerators} accelerators are more than the {most} that may be used",
+                code=ResultCode.GANG_TOO_LARGE,
+            )
+
+    def _check_room(self, job: Job) -> None:
+        """Refuse a job when too many of its workspace and kind wait."""
+        if self._queue.waiting(job.workspace, job.kind.name) >= self._cfg.queue_limit:
+            raise RefusedError("too many such jobs wait", code=ResultCode.QUEUE_FULL)
+
+    def _check_deadline(self, job: Job) -> None:
+        """Refuse a job that cannot end by its deadline, as far as measured."""
+        if not self.estimator.known(job.workspace, job.kind.name):
+            return
+        run_s = self.estimator.typical_s(job.workspace, job.kind.name, job.kind.expected_s)
+        wait_s = self.predicted_wait_s(job)
+        if wait_s > 0 and wait_s + run_s > job.kind.deadline_s:
+            raise RefusedError(
+                f"it would wait {wait_s:.0f} s and miss its deadline",
+                code=ResultCode.DEADLINE_UNREACHABLE,
+            )
+
+    def _caller_limits(self, job: Job) -> tuple[int, int]:
+        """Return the caller's limits in this zone.
+
+        Requests are spread evenly over the zones that back a workspace, so
+        each zone enforces its part of the limit.
+        """
+        workspace = self._cfg.workspace(job.workspace)
+        if workspace is None:
+            raise RefusedError("no such workspace", code=ResultCode.UNKNOWN_WORKSPACE)
+        zones = len({shape.zone for shape in workspace.guarantee}) or len(self._cfg.zones)
+        jobs = -(-workspace.limits.jobs // zones)
+        accelerators = max(-(-workspace.limits.accelerators // zones), job.accelerators)
+        return jobs, accelerators
+
+    def _accrue(self, now: float) -> None:
+        """Charge running jobs now and then."""
+        if now - self._accrued_s < _ACCRUE_S:
+            return
+        self._accrued_s = now
+        for job in self._jobs.values():
+            if job.state in (JobState.RUNNING, JobState.STOPPING):
+                self.accounts.charge(job, now)
+        self.accounts.forget_idle(now)
+
+    def _drop_late(self, now: float, out: list[Decision]) -> None:
+        """Drop waiting jobs whose deadline has passed, if they never started."""
+        late = [
+            job
+            for job in self._queue.jobs()
+            if now >= job.deadline_s and not job.may_have_run and not job.kind.durable
+        ]
+        for job in late:
+            reason = f"waited {now - job.arrived_s:.1f} s"
+            out.append(self._drop(job, ResultCode.DEADLINE_PASSED, reason, now))
+
+    def _settle_holds(self, now: float, out: list[Decision]) -> None:
+        """Start held jobs whose place is free now."""
+        for job in [job for job in self._jobs.values() if job.state is JobState.HELD]:
+            name = str(job.job_id)
+            if self.fleet.hold_broken(name):
+                self.fleet.drop_hold(name)
+                job.state = JobState.WAITING
+                self._queue.add(job, front=True)
+            elif self.fleet.hold_ready(name):
+                plan = self.fleet.held_plan(name)
+                self.fleet.drop_hold(name)
+                out.append(self._start(job, plan, now))
+
+    def _plan_guaranteed(self, now: float, out: list[Decision]) -> None:
+        """Start jobs on their workspace's guarantee, stopping borrowers."""
+        for workspace in self._queue.workspaces():
+            if self.accounts.guaranteed(workspace) == 0:
+                continue
+            planned = []
+            full_at = None
+            for job in self._in_turn(workspace, now):
+                if full_at is not None and job.accelerators >= full_at:
+                    continue
+                if not self.fleet.guaranteed_room(workspace, job.accelerators):
+                    full_at = job.accelerators
+                    if full_at == 1:
+                        break
+                    continue
+                plan = self._guaranteed_plan(job, now)
+                if plan is None:
+                    full_at = job.accelerators
+                    continue
+                planned.append(job)
+                self._begin(job, plan, now, out)
+            for job in planned:
+                self._queue.remove(job.job_id)
+
+    def _guaranteed_plan(self, job: Job, now: float) -> Plan | None:
+        """Choose between the guarantee, a free place and stopping others."""
+        plan = self.fleet.find_guaranteed(
+            job.workspace,
+            job.accelerators,
+            cost=lambda name: self._cost(name, now),
+            across_racks=job.kind.across_racks,
+            keep=self._stopping(),
+        )
+        if plan is None or not plan.victims:
+            return plan
+        if _stoppable(job):
+            free = self._free_plan(job, now)
+            if free is not None:
+                return free
+        return plan if self._guard else None
+
+    def _plan_spare(self, now: float, out: list[Decision]) -> None:
+        """Share free room among the workspaces that want it."""
+        turns = {ws: self._in_turn(ws, now) for ws in self._queue.workspaces()}
+        planned: list[Job] = []
+        tight: set[tuple[int, bool, bool]] = set()
+        looked_at = 0
+        while turns and looked_at < _SCAN_LIMIT:
+            workspace = min(turns, key=lambda ws: (self.accounts.weight(ws, now), ws))
+            job = next(turns[workspace], None)
+            if job is None:
+                del turns[workspace]
+                continue
+            looked_at += 1
+            wants = (job.accelerators, _stoppable(job), job.kind.across_racks)
+            if wants in tight and not self._has_reservation(job):
+                continue
+            plan = self._free_plan(job, now) or self._urgent_plan(job, now)
+            if plan is None:
+                tight.add(wants)
+                self._keep_room(job, now)
+                continue
+            planned.append(job)
+            self._begin(job, plan, now, out)
+        for job in planned:
+            self._queue.remove(job.job_id)
+        self._preempt_backfill(now, out)
+
+    def _in_turn(self, workspace: str, now: float):
+        """Yield a workspace's jobs that may start now, in turn."""
+        jobs = self._queue.in_turn(
+            workspace,
+            kind_first=lambda kind: (
+                kind.floor_share > 0
+                and self.accounts.below_floor(workspace, kind.name, kind.floor_share)
+            ),
+            caller_usage=lambda caller: self.accounts.caller_use(workspace, caller, now),
+        )
+        return (job for job in jobs if job.state is JobState.WAITING and job.not_before_s <= now)
+
+    def _free_plan(self, job: Job, now: float) -> Plan | None:
+        """Find a free place that nobody keeps, or that the job may fill briefly."""
+        avoid = self._kept_servers(job, now)
+        return self.fleet.find_free(
+            job.accelerators,
+            stoppable=_stoppable(job),
+            across_racks=job.kind.across_racks,
+            avoid=avoid | frozenset(job.failed_on),
+        )
+
+    def _urgent_plan(self, job: Job, now: float) -> Plan | None:
+        """Stop much less urgent borrowers for an urgent one within its share."""
+        if not self._guard or job.kind.urgency < _URGENT:
+            return None
+        active = set(self._queue.workspaces()) | {j.workspace for j in self._jobs.values()}
+        fair = self.accounts.fair_accelerators(job.workspace, self.fleet.accelerators, active)
+        if self.accounts.running(job.workspace) + job.accelerators > fair:
+            return None
+        stopping = self._stopping()
+
+        def may_stop(name: str) -> bool:
+            """Tell whether an allocation may be stopped for this job."""
+            victim = self._named.get(name)
+            return (
+                victim is not None
+                and name not in stopping
+                and victim.kind.urgency + _URGENCY_GAP <= job.kind.urgency
+            )
+
+        return self.fleet.find_preempting(
+            job.accelerators,
+            cost=lambda name: self._cost(name, now),
+            across_racks=job.kind.across_racks,
+            stoppable=_stoppable(job),
+            may_stop=may_stop,
+        )
+
+    def _begin(self, job: Job, plan: Plan, now: float, out: list[Decision]) -> None:
+        """Start a job, or hold its place until the victims have stopped."""
+        self._note_backfill(job, plan)
+        if not plan.victims:
+            out.append(self._start(job, plan, now))
+            return
+        for name in plan.victims:
+            victim = self._named[name]
+            reason = f"its place is needed by {job.job_id}"
+            checkpoint = victim.kind.checkpointable
+            out.append(self._stop(victim, now, checkpoint=checkpoint, reason=reason))
+        self.fleet.hold(str(job.job_id), plan)
+        job.state = JobState.HELD
+
+    def _start(self, job: Job, plan: Plan, now: float) -> StartJob:
+        """Take the accelerators of a plan."""
+        self.fleet.take(str(job.job_id), job.workspace, plan, stoppable=_stoppable(job))
+        self._reservations = [r for r in self._reservations if r.job_id != job.job_id]
+        job.state = JobState.RUNNING
+        job.attempt += 1
+        job.started_s = now
+        job.charged = plan.shape is not None
+        self.accounts.start(job, now)
+        return StartJob(job, job.attempt, plan.placement)
+
+    def _stop(self, job: Job, now: float, *, checkpoint: bool, reason: str) -> StopJob:
+        """Begin to stop a running job."""
+        job.state = JobState.STOPPING
+        return StopJob(job.job_id, job.attempt, self.placement(job.job_id), checkpoint, reason)
+
+    def _drop(self, job: Job, code: ResultCode, message: str, now: float) -> DropJob:
+        """End a job without another attempt."""
+        self._forget(job.job_id, now)
+        return DropJob(job, code, message)
+
+    def _wait_again(
+        self, job: Job, now: float, *, pause_s: float = 0.0, front: bool = False
+    ) -> None:
+        """Free a job's accelerators and let it wait for another attempt."""
+        self.fleet.release(str(job.job_id))
+        self.accounts.stop(job, now)
+        job.state = JobState.WAITING
+        job.not_before_s = now + pause_s
+        self._queue.add(job, front=front)
+
+    def _forget(self, job_id: JobId, now: float | None = None) -> None:
+        """Drop every trace of a job."""
+        job = self._jobs.pop(job_id)
+        name = str(job_id)
+        del self._named[name]
+        if job.state in (JobState.RUNNING, JobState.STOPPING):
+            self.accounts.stop(job, job.started_s if now is None else now)
+        self._queue.remove(job_id)
+        self.fleet.drop_hold(name)
+        self.fleet.release(name)
+        self._limiter.finish(job.workspace, job.caller, job.accelerators)
+        self._reservations = [r for r in self._reservations if r.job_id != job_id]
+
+    def _current(self, job_id: JobId, attempt: int) -> Job | None:
+        """Find a running job if the attempt is its current one."""
+        job = self._jobs.get(job_id)
+        if job is None or job.attempt != attempt:
+            return None
+        return job if job.state in (JobState.RUNNING, JobState.STOPPING) else None
+
+    def _record_run(self, job: Job, now: float) -> None:
+        """Learn from a finished attempt."""
+        seconds = now - job.started_s + job.progress_s
+        self.estimator.record(job.workspace, job.kind.name, seconds)
+
+    def _stopping(self) -> frozenset[str]:
+        """Return the allocations that are stopping already."""
+        return frozenset(
+            str(job.job_id) for job in self._jobs.values() if job.state is JobState.STOPPING
+        )
+
+    def _cost(self, name: str, now: float) -> float:
+        """Return the accelerator-seconds that stopping an allocation loses.
+
+        A job that was stopped before costs more, so that the same one is not
+        stopped again and again.
+        """
+        job = self._named.get(name)
+        if job is None:
+            return 0.0
+        lost_s = _CHECKPOINT_LOSS_S if job.kind.checkpointable else now - job.started_s
+        return (lost_s + _CHECKPOINT_LOSS_S) * job.accelerators * (1 + job.stops)
+
+    def _remaining_s(self, name: str, now: float) -> float:
+        """Return how long an allocation will go on, as far as measured."""
+        job = self._named.get(name)
+        if job is None:
+            return 0.0
+        elapsed = now - job.started_s
+        typical = self.estimator.typical_s(job.workspace, job.kind.name, job.kind.expected_s)
+        left = typical - job.progress_s - elapsed
+        # A job past its estimate is as likely to take half as long again.
+        return left if left > 0 else elapsed / 2
+
+    def _has_reservation(self, job: Job) -> bool:
+        """Tell whether room is kept for a job."""
+        return any(r.job_id == job.job_id for r in self._reservations)
+
+    def _kept_servers(self, job: Job, now: float) -> frozenset[str]:
+        """Return the servers that are kept for others."""
+        run_s = self.estimator.cautious_s(job.workspace, job.kind.name, job.kind.expected_s)
+        known = self.estimator.known(job.workspace, job.kind.name)
+        kept: set[str] = set()
+        for reservation in self._reservations:
+            if reservation.job_id == job.job_id:
+                continue
+            brief = known and now + run_s <= reservation.free_at_s and _stoppable(job)
+            if not brief:
+                kept |= reservation.servers
+        return frozenset(kept)
+
+    def _keep_room(self, job: Job, now: float) -> None:
+        """Keep servers for a job that has waited long and does not fit."""
+        if not self._guard or now - job.arrived_s < _RESERVE_AFTER_S:
+            return
+        if len(self._reservations) >= _MAX_RESERVATIONS or self._has_reservation(job):
+            return
+        taken = frozenset().union(*(r.servers for r in self._reservations))
+        chosen = choose_servers(
+            self.fleet,
+            job.accelerators,
+            across_racks=job.kind.across_racks,
+            remaining=lambda name: self._remaining_s(name, now),
+            avoid=taken | frozenset(job.failed_on),
+        )
+        if chosen is not None:
+            servers, wait_s = chosen
+            self._reservations.append(Reservation(job.job_id, servers, now + wait_s))
+
+    def _note_backfill(self, job: Job, plan: Plan) -> None:
+        """Remember short jobs that were let in on kept servers."""
+        on = {part.server for part in plan.placement.slices}
+        for reservation in self._reservations:
+            if reservation.job_id != job.job_id and on & reservation.servers:
+                reservation.backfilled.add(str(job.job_id))
+
+    def _preempt_backfill(self, now: float, out: list[Decision]) -> None:
+        """Stop short jobs that overstay on kept servers."""
+        for reservation in self._reservations:
+            owners = {name for server in reservation.servers for name in self.fleet.owners(server)}
+            overdue = owners and owners <= reservation.backfilled
+            if not overdue or now < reservation.free_at_s:
+                continue
+            for name in sorted(owners):
+                job = self._named.get(name)
+                if job is not None and job.state is JobState.RUNNING and _stoppable(job):
+                    reason = f"it overstayed on room kept for {reservation.job_id}"
+                    checkpoint = job.kind.checkpointable
+                    out.append(self._stop(job, now, checkpoint=checkpoint, reason=reason))
+
+
+def _stoppable(job: Job) -> bool:
+    """Tell whether a job may be stopped for others."""
+    return job.kind.stoppable
