Notice at once when the scheduler that was asked is gone

Cause: a caller's entry instance waited for the whole answer time of a killed scheduler, since nothing told it that the connection had broken or that another instance had taken the zone. Change: a broken connection fails all questions on it; the entry watches who schedules the zone and asks the new one; a zone that changes hands is announced to all peers at once. The same scheduler is asked again only out of the retry budget.

--- a/app/src/catkinknot/app/_cli.py
+++ b/app/src/catkinknot/app/_cli.py
@@ -266,7 +266,7 @@
 def main() -> None:
     """Run a verb; exit with 0 for done, 1 for refused or failed, 2 for bad use."""
     try:
-        fire.Fire(Verbs, name="catkinknot")
+        fire.Fire(Verbs(), name="catkinknot")
     except BadInputError as exc:
         for fault in exc.faults:
             print(f"{int(exc.code)} {exc.code.name}: {fault}", file=sys.stderr)
--- a/app/src/catkinknot/app/_compose.py
+++ b/app/src/catkinknot/app/_compose.py
@@ -143,6 +143,7 @@
         ) as node:
             window = ServiceWindow(clock=outside.clock)
             duties = Duties(tools, outside.listing, view, keeper, office, node)
+            office.on_changed(duties.announce)
             status = StatusDesk(tools, view, office, node, window, duties)
             peer_desk.status = status
             instance = Instance(
@@ -186,6 +187,7 @@
         metrics=Metrics(),
         clock=outside.clock,
         spawn=_guarded_spawn(pool),
+        launch=_launch,
     )
 
 
@@ -210,6 +212,17 @@
     return spawn
 
 
+def _launch(name: str, step: Callable[[], bool]) -> None:
+    """Repeat a step on a thread of its own until it says False."""
+
+    def repeat() -> None:
+        """Do step after step."""
+        while step():
+            pass
+
+    threading.Thread(target=repeat, name=name, daemon=True).start()
+
+
 def _listen(tools: Tools, office: ZoneOffice) -> None:
     """Bring what the log says to the parts that act on it."""
     tools.book.listen(office.configured)
--- a/app/src/catkinknot/app/_desk.py
+++ b/app/src/catkinknot/app/_desk.py
@@ -1,14 +1,16 @@
 """Take callers' requests and bring each its one answer."""
 
 import time
+from collections.abc import Callable
 from concurrent.futures import Future
 from concurrent.futures import TimeoutError as FutureTimeoutError
+from dataclasses import dataclass
 
-from catkinknot.admission import Backoff, RetryBudget
+from catkinknot.admission import RetryBudget
 from catkinknot.journal import ServiceWindow, part_logger
 from catkinknot.membership import MembershipView
 from catkinknot.model import Configuration, JobId, JobRequest, Kind, Outcome, ResultCode
-from catkinknot.model.exceptions import CatkinknotError, RefusedError, UnreachableError
+from catkinknot.model.exceptions import RefusedError, UnreachableError
 from catkinknot.peers import PeerNode
 from catkinknot.platformlog import CancelRequested, JobAccepted, LogState
 from catkinknot.platformlog.exceptions import AppendUnknownError, NotAppendedError
@@ -25,9 +27,26 @@
 _NO_HOLDER_S = 6.0
 """Wait this long for somebody to schedule a zone before trying the next."""
 
+_LOOK_AGAIN_S = 0.05
+_ASK_AGAIN_S = 1.0
+"""Ask a scheduler that did not answer again after this long."""
+
 log = part_logger("entry")
 
 
+@dataclass(frozen=True)
+class _Holder:
+    """Name who schedules a zone.
+
+    Attributes:
+        instance: The instance.
+        epoch: The epoch under which it does.
+    """
+
+    instance: str
+    epoch: str
+
+
 class JobDesk:
     """Submit, follow and cancel jobs for the callers of this instance."""
 
@@ -54,7 +73,6 @@
         self._node = node
         self._window = window
         self._budget = RetryBudget()
-        self._backoff = Backoff(first_s=0.05, longest_s=1.0, clock=tools.clock)
 
     def submit(self, request: JobRequest, wait_s: float) -> Outcome:
         """Run a job, or wait for the one with the same key.
@@ -245,79 +263,94 @@
         return _outcome(request.job_id, ResultCode.ZONE_UNREACHABLE, message)
 
     def _submit_to(self, zone: str, request: JobRequest, until: float) -> Outcome | None:
-        """Run a job in one zone, trying again while its scheduler changes.
+        """Run a job in one zone, trying again when its scheduler changes.
 
         Returns:
             The answer, None when nobody schedules the zone.
         """
-        tries = 0
-        sent = False
-        vacant_since = None
+        failed: dict[_Holder, float] = {}
+        vacant_since = time.monotonic()
         while True:
+            holder = self._holder(zone)
+            if holder is None or not self._may_ask(holder, failed):
+                if time.monotonic() - vacant_since > self._patience_s(zone, failed):
+                    return self._not_reached(request.job_id) if failed else None
+                if failed and time.monotonic() >= until:
+                    return self._running(request.job_id)
+                self._tools.clock.sleep(_LOOK_AGAIN_S)
+                continue
             left_s = max(until - time.monotonic(), 0.0)
-            fut = self._ask_zone(zone, SubmitJob(request, left_s), left_s)
-            if fut is not None:
-                vacant_since = None
-                sent = True
-                outcome = self._await(fut, left_s)
-                if outcome is not None:
-                    return outcome
-            else:
-                vacant_since = vacant_since or time.monotonic()
-                if time.monotonic() - vacant_since > self._patience_s(zone):
-                    return None
-            if time.monotonic() >= until:
-                return self._running(request.job_id) if sent else None
-            tries += 1
-            if fut is not None and not self._budget.take():
-                return _outcome(
-                    request.job_id, ResultCode.NOT_REACHABLE, "the zone's scheduler did not answer"
-                )
-            self._backoff.wait(tries)
-
-    def _patience_s(self, zone: str) -> float:
+            fut = self._ask_holder(holder, SubmitJob(request, left_s), left_s)
+            outcome = self._await(fut, left_s, lambda asked=holder: self._holder(zone) == asked)
+            if outcome is not None:
+                return outcome
+            failed[holder] = vacant_since = time.monotonic()
+
+    def _may_ask(self, holder: _Holder, failed: dict[_Holder, float]) -> bool:
+        """Tell whether a scheduler may be asked, perhaps once more.
+
+        A new scheduler may always be asked. The same one gets a retry only
+        after a pause and out of the budget.
+        """
+        if holder not in failed:
+            return True
+        rested = time.monotonic() - failed[holder] >= _ASK_AGAIN_S
+        return rested and self._budget.take()
+
+    def _patience_s(self, zone: str, failed: dict[_Holder, float]) -> float:
         """Return how long to wait for somebody to schedule a zone."""
         known = any(peer.listed.zone == zone and peer.usable for peer in self._view.entries())
-        return _NO_HOLDER_S if known or zone == self._tools.zone else 0.0
+        return _NO_HOLDER_S if known or failed or zone == self._tools.zone else 0.0
 
-    def _await(self, fut: Future, wait_s: float) -> Outcome | None:
-        """Wait for a zone's answer.
+    def _await(
+        self, fut: Future, wait_s: float, still_holder: Callable[[], bool]
+    ) -> Outcome | None:
+        """Wait for the answer of a zone's scheduler, as long as it is that.
 
         Returns:
             The outcome, None when another scheduler should be asked.
         """
-        try:
-            answer = fut.result(wait_s + _ASK_MARGIN_S)
-        except (UnreachableError, FutureTimeoutError):
-            return None
-        return answer.outcome if isinstance(answer, JobAnswer) else None
-
-    def _ask_zone(
-        self, zone: str, message: SubmitJob | AskJob | CancelJob, wait_s: float
-    ) -> Future | None:
-        """Ask who schedules a zone, here or elsewhere.
+        until = time.monotonic() + wait_s + _ASK_MARGIN_S
+        while time.monotonic() < until:
+            try:
+                answer = fut.result(_LOOK_AGAIN_S)
+            except FutureTimeoutError:
+                if not still_holder():
+                    return None
+                continue
+            except UnreachableError:
+                return None
+            return answer.outcome if isinstance(answer, JobAnswer) else None
+        return None
 
-        Returns:
-            A future for the answer, None when nobody schedules the zone.
-        """
-        if zone == self._tools.zone and self._office.holding():
-            fut: Future = Future()
-            self._office.handle(message, fut.set_result)
-            return fut
+    def _holder(self, zone: str) -> _Holder | None:
+        """Return who schedules a zone and under which epoch, or None."""
+        holding = self._office.holding()
+        if zone == self._tools.zone and holding:
+            return _Holder(self._tools.instance, str(holding))
         peer = self._view.holder_of(zone)
-        if peer is None:
-            return None
-        return self._node.ask(peer.listed.name, message, wait_s + _ASK_MARGIN_S)
+        return _Holder(peer.listed.name, peer.heartbeat.holds) if peer else None
+
+    def _ask_holder(
+        self, holder: _Holder, message: SubmitJob | AskJob | CancelJob, wait_s: float
+    ) -> Future:
+        """Ask who schedules a zone, here or elsewhere."""
+        if holder.instance != self._tools.instance:
+            return self._node.ask(holder.instance, message, wait_s + _ASK_MARGIN_S)
+        fut: Future = Future()
+        self._office.handle(message, fut.set_result)
+        return fut
 
     def _ask_zones(
         self, job_id: JobId, message: AskJob | CancelJob, wait_s: float
     ) -> Outcome | None:
         """Ask all zones at once for a job that lives with its caller."""
         cfg = self._config()
-        futs = [self._ask_zone(zone.name, message, wait_s) for zone in cfg.zones]
-        unreachable = any(fut is None for fut in futs)
-        for fut in [fut for fut in futs if fut is not None]:
-            outcome = self._await(fut, wait_s)
+        holders = [self._holder(zone.name) for zone in cfg.zones]
+        unreachable = None in holders
+        futs = [self._ask_holder(holder, message, wait_s) for holder in holders if holder]
+        for fut in futs:
+            outcome = self._await(fut, wait_s, lambda: True)
             if outcome is not None and outcome.code is not ResultCode.UNKNOWN_JOB:
                 return outcome
             unreachable = unreachable or outcome is None
@@ -328,9 +361,11 @@
 
     def _scheduled(self, zone: str) -> bool:
         """Tell whether somebody who can be reached schedules a zone."""
-        if zone == self._tools.zone and self._office.holding():
-            return True
-        return self._view.holder_of(zone) is not None
+        return self._holder(zone) is not None
+
+    def _not_reached(self, job_id: JobId) -> Outcome:
+        """Say that a zone's scheduler was asked and did not answer."""
+        return _outcome(job_id, ResultCode.NOT_REACHABLE, "the zone's scheduler did not answer")
 
     def _running(self, job_id: JobId) -> Outcome:
         """Say that a job has not ended yet."""
@@ -344,8 +379,3 @@
 def _outcome(job_id: JobId, code: ResultCode, message: str) -> Outcome:
     """Write an answer without a result."""
     return Outcome(job_id.workspace, job_id.key, code, message)
-
-
-def error_outcome(job_id: JobId, exc: CatkinknotError) -> Outcome:
-    """Turn an error into an answer."""
-    return _outcome(job_id, exc.code, exc.message)
--- a/app/src/catkinknot/app/_duties.py
+++ b/app/src/catkinknot/app/_duties.py
@@ -103,10 +103,12 @@
         self._sent += 1
         heartbeat = self._heartbeat()
         every = round(CROSS_ZONE_PERIOD_S / IN_ZONE_PERIOD_S)
-        due_far = self._sent % every == 0 or self._leaving
-        for peer in self._view.entries():
-            if peer.listed.zone == self._tools.zone or due_far:
-                self._node.tell(peer.listed.name, heartbeat)
+        self._tell_peers(heartbeat, far_too=self._sent % every == 0 or self._leaving)
+
+    def announce(self) -> None:
+        """Tell all peers at once that the zone was won or lost."""
+        self._sent += 1
+        self._tell_peers(self._heartbeat(), far_too=True)
 
     def read_list(self) -> None:
         """Read the platform's list and keep links to all entry instances."""
@@ -132,6 +134,12 @@
         self._adopt_left_jobs()
         self._update_gauges()
 
+    def _tell_peers(self, heartbeat: Heartbeat, *, far_too: bool) -> None:
+        """Send a heartbeat to the peers of the zone, and to others too."""
+        for peer in self._view.entries():
+            if far_too or peer.listed.zone == self._tools.zone:
+                self._node.tell(peer.listed.name, heartbeat)
+
     def _heartbeat(self) -> Heartbeat:
         """Describe this instance."""
         holding = self._office.holding()
--- a/app/src/catkinknot/app/_session.py
+++ b/app/src/catkinknot/app/_session.py
@@ -144,9 +144,8 @@
             for job in mine:
                 self._take_durable(job)
         self.refresh_servers(servers)
-        for target in (self._run, self._run_doubts):
-            name = f"zone-{target.__name__.strip('_')}"
-            threading.Thread(target=target, name=name, daemon=True).start()
+        self._tools.launch("zone-decider", self._decide_next)
+        self._tools.launch("zone-doubts", self._resolve_next)
 
     def close(self) -> None:
         """Stop deciding and let the leases lapse or pass on."""
@@ -213,7 +212,10 @@
                 if refusal is not None:
                     answer(refusal)
                     return
-            self._waiters.add(request.job_id, answer, now + wait_s)
+            if wait_s > 0:
+                self._waiters.add(request.job_id, answer, now + wait_s)
+            else:
+                answer(_still_running(request.job_id))
         self._wake.set()
 
     def ask(self, job_id: JobId, answer: Answer, wait_s: float) -> None:
@@ -230,8 +232,10 @@
                 answer(found[1])
             elif self._closed or self._planner.job(job_id) is None:
                 answer(None)
-            else:
+            elif wait_s > 0:
                 self._waiters.add(job_id, answer, self._tools.clock.now() + wait_s)
+            else:
+                answer(_still_running(job_id))
 
     def cancel(self, job_id: JobId) -> None:
         """End a job that its caller gave up."""
@@ -324,14 +328,7 @@
         log.warning("Server {} has a newer holder: {}.", server, reason)
         self._deposed(self)
 
-    def _run(self) -> None:
-        """Decide until closed."""
-        while not self._closed:
-            self._wake.wait(_TICK_S)
-            self._wake.clear()
-            self._tick()
-
-    def _tick(self) -> None:
+    def tick(self) -> None:
         """Decide once."""
         now = self._tools.clock.now()
         with self._lock:
@@ -347,6 +344,32 @@
         if acks:
             self._tools.spawn(self._send_acks, acks)
 
+    def resolve_doubts(self) -> None:
+        """Ask once about every start whose outcome is not known."""
+        with self._lock:
+            # A start that is still under way could follow the answer.
+            doubts = [
+                doubt
+                for doubt in self._doubts.values()
+                if (doubt.job.job_id, doubt.attempt) not in self._starting
+            ]
+        for doubt in doubts:
+            if not self._closed:
+                self._resolve(doubt)
+
+    def _decide_next(self) -> bool:
+        """Wait until there may be something to decide, and decide."""
+        self._wake.wait(_TICK_S)
+        self._wake.clear()
+        self.tick()
+        return not self._closed
+
+    def _resolve_next(self) -> bool:
+        """Wait a while, then resolve doubtful starts."""
+        self._tools.clock.sleep(_DOUBT_PERIOD_S)
+        self.resolve_doubts()
+        return not self._closed
+
     def _settling(self, now: float) -> bool:
         """Tell whether servers of the zone are still being claimed."""
         return now < self._began_s + _SETTLE_S and len(self._claimed) < len(self._watches)
@@ -847,7 +870,7 @@
             )
             self._watches[listed.name] = watch
             self._planner.fleet.set_off(listed.name, True)
-            watch.start()
+            self._tools.launch(f"watch-{listed.name}", watch.step)
         self._set_off(listed.name)
 
     def _set_off(self, server: str) -> None:
@@ -919,21 +942,6 @@
             except BackendError as exc:
                 log.debug("Server {} took no acknowledgement: {}.", server, exc.message)
 
-    def _run_doubts(self) -> None:
-        """Resolve doubtful starts until closed."""
-        while not self._closed:
-            self._tools.clock.sleep(_DOUBT_PERIOD_S)
-            with self._lock:
-                # A start that is still under way could follow the answer.
-                doubts = [
-                    doubt
-                    for doubt in self._doubts.values()
-                    if (doubt.job.job_id, doubt.attempt) not in self._starting
-                ]
-            for doubt in doubts:
-                if not self._closed:
-                    self._resolve(doubt)
-
     def _resolve(self, doubt: Doubt) -> None:
         """Ask the servers of a doubtful start what became of it."""
         answer = judge_doubt(
@@ -986,6 +994,11 @@
         )
 
 
+def _still_running(job_id: JobId) -> Outcome:
+    """Say that a job has not ended yet."""
+    return Outcome(job_id.workspace, job_id.key, ResultCode.RUNNING, "not ended yet")
+
+
 def _block_name(server: str, lease: str) -> str:
     """Name the allocation of a stranger's task."""
     return f"!{lease}@{server}"
--- a/app/src/catkinknot/app/_tools.py
+++ b/app/src/catkinknot/app/_tools.py
@@ -29,6 +29,7 @@
         metrics: Its metrics.
         clock: Where time comes from.
         spawn: Runs a function on another thread of a bounded pool.
+        launch: Repeats a function on a thread of its own until it says False.
     """
 
     instance: str
@@ -42,6 +43,7 @@
     metrics: Metrics
     clock: Clock
     spawn: Callable[..., None]
+    launch: Callable[[str, Callable[[], bool]], None]
 
     @property
     def holder(self) -> str:
--- a/app/src/catkinknot/app/_zone.py
+++ b/app/src/catkinknot/app/_zone.py
@@ -40,11 +40,16 @@
         self._held_since_s = 0.0
         self._draining = False
         self._on_deposed: Callable[[], None] = lambda: None
+        self._on_changed: Callable[[], None] = lambda: None
 
     def on_deposed(self, deposed: Callable[[], None]) -> None:
         """Say whom to tell when a server has a newer holder."""
         self._on_deposed = deposed
 
+    def on_changed(self, changed: Callable[[], None]) -> None:
+        """Say whom to tell when the zone was won or lost."""
+        self._on_changed = changed
+
     def holding(self) -> Holding | None:
         """Return what this instance holds, None while it has no session."""
         with self._lock:
@@ -65,12 +70,14 @@
         if holding is None:
             self._tools.ring.add("zone", "zone.lost", zone=self._tools.zone)
             log.info("This instance no longer schedules zone {}.", self._tools.zone)
+            self._on_changed()
             return
         self._held_since_s = self._tools.clock.wall()
         self._tools.ring.add("zone", "zone.held", zone=self._tools.zone, epoch=str(holding))
         log.info("This instance schedules zone {} under epoch {}.", self._tools.zone, holding)
         if present is not None:
             self._open(holding, present)
+        self._on_changed()
 
     def configured(self, present: ConfigInForce) -> None:
         """Put another configuration in force, opening a session that waited for one."""
--- a/libs/peers/src/catkinknot/peers/_link.py
+++ b/libs/peers/src/catkinknot/peers/_link.py
@@ -109,8 +109,10 @@
     def _run(self) -> None:
         """Send and receive until closed."""
         sock = self._connect()
+        monitor = sock.get_monitor_socket(zmq.EVENT_DISCONNECTED)
         poller = zmq.Poller()
         poller.register(sock, zmq.POLLIN)
+        poller.register(monitor, zmq.POLLIN)
         poller.register(self._outbox.fileno(), zmq.POLLIN)
         try:
             while not self._closed:
@@ -119,8 +121,12 @@
                     self._send(sock, out)
                 if sock in ready:
                     self._receive_all(sock)
+                if monitor in ready:
+                    monitor.recv_multipart()
+                    self._give_up_all("the connection broke")
                 self._give_up_late()
         finally:
+            sock.disable_monitor()
             sock.close(linger=0)
             for out in [*self._waiting.values(), *self._outbox.drain()]:
                 self._fail(out, "the link was closed")
@@ -184,6 +190,12 @@
         if out is not None and not out.fut.done():
             out.fut.set_result(answer)
 
+    def _give_up_all(self, reason: str) -> None:
+        """Fail every question, as the answers can no longer come."""
+        while self._waiting:
+            _, out = self._waiting.popitem()
+            self._fail(out, reason)
+
     def _give_up_late(self) -> None:
         """Fail the questions whose time is over."""
         now = self._clock.now()
