--- a/app/src/catkinknot/app/_config_book.py
+++ b/app/src/catkinknot/app/_config_book.py
@@ -5,6 +5,7 @@
 
 from catkinknot.model import Configuration
 from catkinknot.platformlog import ConfigInForce
+from catkinknot.scheduler import ZoneCapacity
 
 __all__ = ["ConfigBook"]
 
@@ -21,6 +22,7 @@
         """Start without a configuration."""
         self._lock = threading.Lock()
         self._present: ConfigInForce | None = None
+        self._capacity: ZoneCapacity | None = None
         self._listeners: list[Callable[[ConfigInForce], None]] = []
 
     def listen(self, listener: Callable[[ConfigInForce], None]) -> None:
@@ -32,6 +34,15 @@
         with self._lock:
             return self._present
 
+    def capacity(self) -> ZoneCapacity | None:
+        """Return what the zones of the configuration in force can hold, or None."""
+        with self._lock:
+            if self._present is None:
+                return None
+            if self._capacity is None or self._capacity.cfg is not self._present.config:
+                self._capacity = ZoneCapacity(self._present.config)
+            return self._capacity
+
     def version(self) -> int:
         """Return the version in force, 0 for none."""
         with self._lock:
--- a/app/src/catkinknot/app/_config_desk.py
+++ b/app/src/catkinknot/app/_config_desk.py
@@ -1,11 +1,12 @@
 """Publish configurations for operators."""
 
 from catkinknot.membership import MembershipView
-from catkinknot.model import Configuration, ResultCode, Zone
+from catkinknot.model import Configuration, ResultCode
 from catkinknot.model.exceptions import BadInputError, CatkinknotError, ConfigConflictError
-from catkinknot.placement import Room, unpacked_shapes
+from catkinknot.placement import Fleet
 from catkinknot.platformlog import ConfigInForce, ConfigPublished
 from catkinknot.platformlog.exceptions import AppendUnknownError, NotAppendedError
+from catkinknot.scheduler import guaranteed_shapes, zone_slots
 
 from ._tools import Tools
 
@@ -79,14 +80,9 @@
     """
     faults = []
     for place, zone in enumerate(config.zones):
-        shapes = [
-            shape.accelerators
-            for workspace in config.workspaces
-            for shape in workspace.guarantee
-            if shape.zone == zone.name
-            for _ in range(shape.count)
-        ]
-        missing = unpacked_shapes(_empty_rooms(zone), shapes)
+        fleet = Fleet(zone_slots(config, zone.name))
+        fleet.set_shapes(guaranteed_shapes(config, zone.name))
+        missing = fleet.unhonoured()
         if missing:
             total = zone.servers * zone.accelerators_per_server
             faults.append(
@@ -94,10 +90,3 @@
                 f"({sum(missing)} accelerators) do not fit its {total} accelerators"
             )
     return faults
-
-
-def _empty_rooms(zone: Zone) -> list[Room]:
-    """Describe the zone with nothing running."""
-    size = zone.accelerators_per_server
-    whole = (1 << size) - 1
-    return [Room(number // zone.servers_per_rack, size, whole) for number in range(zone.servers)]
--- a/app/src/catkinknot/app/_desk.py
+++ b/app/src/catkinknot/app/_desk.py
@@ -9,11 +9,12 @@
 from catkinknot.admission import RetryBudget
 from catkinknot.journal import ServiceWindow, part_logger
 from catkinknot.membership import MembershipView
-from catkinknot.model import Configuration, JobId, JobRequest, Kind, Outcome, ResultCode
+from catkinknot.model import JobId, JobRequest, Kind, Outcome, ResultCode
 from catkinknot.model.exceptions import RefusedError, UnreachableError
 from catkinknot.peers import PeerNode
 from catkinknot.platformlog import CancelRequested, JobAccepted, LogState
 from catkinknot.platformlog.exceptions import AppendUnknownError, NotAppendedError
+from catkinknot.scheduler import ZoneCapacity
 
 from ._messages import AskJob, CancelJob, JobAnswer, SubmitJob
 from ._routing import zone_order
@@ -88,13 +89,13 @@
             CatkinknotError: When the request itself is wrong or refused.
         """
         began = time.monotonic()
-        cfg = self._config()
-        kind = self._check(cfg, request)
+        capacity = self._capacity()
+        kind = self._check(capacity, request)
         self._event(request.job_id, "request.taken", kind.name)
         if kind.durable:
-            outcome = self._submit_durable(cfg, request, kind, wait_s)
+            outcome = self._submit_durable(capacity, request, kind, wait_s)
         else:
-            outcome = self._submit_brief(cfg, request, kind, wait_s)
+            outcome = self._submit_brief(capacity, request, kind, wait_s)
         took_s = time.monotonic() - began
         self._window.record(kind.name, outcome, took_s=took_s, deadline_s=kind.deadline_s)
         labels = {
@@ -144,19 +145,20 @@
             return answer
         return _outcome(job_id, ResultCode.UNKNOWN_JOB, "no zone that answers knows the job")
 
-    def _config(self) -> Configuration:
-        """Return the configuration in force."""
-        present = self._tools.book.present()
-        if present is None:
+    def _capacity(self) -> ZoneCapacity:
+        """Return what the zones of the configuration in force can hold."""
+        capacity = self._tools.book.capacity()
+        if capacity is None:
             raise RefusedError("no configuration is in force", code=ResultCode.NO_CONFIG)
-        return present.config
+        return capacity
 
-    def _check(self, cfg: Configuration, request: JobRequest) -> Kind:
+    def _check(self, capacity: ZoneCapacity, request: JobRequest) -> Kind:
         """Check a request against the configuration.
 
         Returns:
             Its kind of work.
         """
+        cfg = capacity.cfg
         if cfg.workspace(request.workspace) is None:
             raise RefusedError(
                 f"no workspace is named {request.workspace}", code=ResultCode.UNKNOWN_WORKSPACE
@@ -169,12 +171,16 @@
                 f"{kind.name} may use {kind.max_accelerators} accelerators at most",
                 code=ResultCode.GANG_TOO_LARGE,
             )
-        if not zone_order(cfg, request, kind):
-            raise RefusedError("no rack is large enough", code=ResultCode.GANG_TOO_LARGE)
+        if not zone_order(capacity, request, kind):
+            raise RefusedError(
+                f"no zone can ever give {request.accelerators} adjacent accelerators "
+                "and keep what it guarantees",
+                code=ResultCode.GANG_TOO_LARGE,
+            )
         return kind
 
     def _submit_durable(
-        self, cfg: Configuration, request: JobRequest, kind: Kind, wait_s: float
+        self, capacity: ZoneCapacity, request: JobRequest, kind: Kind, wait_s: float
     ) -> Outcome:
         """Keep a job on the log, then wait for its end there."""
         job_id = request.job_id
@@ -183,15 +189,17 @@
         if known is not None and known.request.digest != request.digest:
             return _outcome(job_id, ResultCode.KEY_REUSED, "the key stands for other work")
         if known is None:
-            record = JobAccepted(request, self._durable_zone(cfg, request, kind), kind.idempotent)
+            record = JobAccepted(
+                request, self._durable_zone(capacity, request, kind), kind.idempotent
+            )
             refusal = self._append_job(job_id, record)
             if refusal is not None:
                 return refusal
         return self._durable_outcome(job_id, wait_s)
 
-    def _durable_zone(self, cfg: Configuration, request: JobRequest, kind: Kind) -> str:
+    def _durable_zone(self, capacity: ZoneCapacity, request: JobRequest, kind: Kind) -> str:
         """Choose the first zone that somebody schedules, else the first."""
-        order = zone_order(cfg, request, kind)
+        order = zone_order(capacity, request, kind)
         return next((zone for zone in order if self._scheduled(zone)), order[0])
 
     def _append_job(self, job_id: JobId, record: JobAccepted) -> Outcome | None:
@@ -247,13 +255,13 @@
         return self._durable_outcome(job_id, 1.0)
 
     def _submit_brief(
-        self, cfg: Configuration, request: JobRequest, kind: Kind, wait_s: float
+        self, capacity: ZoneCapacity, request: JobRequest, kind: Kind, wait_s: float
     ) -> Outcome:
         """Run a job that lives with its caller, in the first zone that can."""
         until = time.monotonic() + wait_s
         self._budget.note_first_try()
         answer = None
-        for zone in zone_order(cfg, request, kind):
+        for zone in zone_order(capacity, request, kind):
             answer = self._submit_to(zone, request, until) or answer
             if answer is not None and answer.code is not ResultCode.NO_CAPACITY:
                 return answer
@@ -280,7 +288,7 @@
                 self._tools.clock.sleep(_LOOK_AGAIN_S)
                 continue
             left_s = max(until - time.monotonic(), 0.0)
-            fut = self._ask_holder(holder, SubmitJob(request, left_s), left_s)
+            fut = self._ask_holder(holder, SubmitJob(request, left_s, bool(failed)), left_s)
             outcome = self._await(fut, left_s, lambda asked=holder: self._holder(zone) == asked)
             if outcome is not None:
                 return outcome
@@ -345,8 +353,7 @@
         self, job_id: JobId, message: AskJob | CancelJob, wait_s: float
     ) -> Outcome | None:
         """Ask all zones at once for a job that lives with its caller."""
-        cfg = self._config()
-        holders = [self._holder(zone.name) for zone in cfg.zones]
+        holders = [self._holder(zone.name) for zone in self._capacity().cfg.zones]
         unreachable = None in holders
         futs = [self._ask_holder(holder, message, wait_s) for holder in holders if holder]
         for fut in futs:
--- a/app/src/catkinknot/app/_doubts.py
+++ b/app/src/catkinknot/app/_doubts.py
@@ -109,15 +109,19 @@
         return DoubtAnswer.RUNNING
     if any(doubt.lease in state.reserved for state in states):
         return DoubtAnswer.NOT_YET
-    if knowing:
-        return _judge_partial(name, knowing)
-    same = all(state.boot == boot for state, boot in zip(states, doubt.boots, strict=True))
-    return DoubtAnswer.NEVER_STARTED if same else DoubtAnswer.LOST
+    if not _same_runs(doubt, states):
+        return DoubtAnswer.LOST
+    return _judge_partial(name, knowing)
+
+
+def _same_runs(doubt: Doubt, states: list[ServerState]) -> bool:
+    """Tell whether every server still remembers the time of the start."""
+    return all(state.boot == boot for state, boot in zip(states, doubt.boots, strict=True))
 
 
 def _judge_partial(name: tuple[str, int], knowing: list[ServerState]) -> DoubtAnswer:
-    """Call a gang lost that ran with a part of its members, once they ended."""
+    """Judge a start that some servers, or all, know nothing of."""
     tasks = [task for state in knowing for task in state.tasks if (task.job, task.attempt) == name]
-    if any(task.phase in ("running", "stopping") for task in tasks):
+    if any(task.phase in ("ready", "running", "stopping") for task in tasks):
         return DoubtAnswer.NOT_YET
-    return DoubtAnswer.LOST
+    return DoubtAnswer.LOST if any(task.began for task in tasks) else DoubtAnswer.NEVER_STARTED
--- a/app/src/catkinknot/app/_duties.py
+++ b/app/src/catkinknot/app/_duties.py
@@ -205,10 +205,10 @@
 
     def _adopt_left_jobs(self) -> None:
         """Take lasting jobs whose zone nobody has scheduled for long."""
-        present = self._tools.book.present()
-        if present is None or self._office.holding() is None:
+        capacity = self._tools.book.capacity()
+        if capacity is None or self._office.holding() is None:
             return
-        left = self._left_zones([zone.name for zone in present.config.zones])
+        left = self._left_zones([zone.name for zone in capacity.cfg.zones])
         if not left:
             return
         with self._tools.reader.state() as state:
@@ -218,8 +218,8 @@
                 if job.zone in left and job.outcome is None and job.intent is None
             ]
         for job in jobs:
-            kind = present.config.kind(job.request.kind)
-            order = zone_order(present.config, job.request, kind) if kind else []
+            kind = capacity.cfg.kind(job.request.kind)
+            order = zone_order(capacity, job.request, kind) if kind else []
             first = next((zone for zone in order if zone not in left), None)
             if first == self._tools.zone:
                 self._office.take_from_log(job.request.job_id)
--- a/app/src/catkinknot/app/_gangs.py
+++ b/app/src/catkinknot/app/_gangs.py
@@ -7,14 +7,18 @@
 
 __all__ = ["Gang", "GangBoard"]
 
-_ACTIVE = ("running", "stopping")
+_ACTIVE = ("ready", "running", "stopping")
 
 
 @dataclass
 class Gang:
-    """Hold the reports of one attempt of a job.
+    """Hold the reports of one start of a job.
+
+    Attempts are counted anew by each holder for work that may run twice, so
+    it is the lease that tells one start from another.
 
     Attributes:
+        lease: The name of the members' reservations.
         job: The job, as ``workspace/key``.
         attempt: The attempt.
         servers: All servers of the gang, by rank.
@@ -23,6 +27,7 @@
         lost: Servers that do not answer or have forgotten the task.
     """
 
+    lease: str
     job: str
     attempt: int
     servers: tuple[str, ...]
@@ -70,9 +75,14 @@
         return failed[0] if failed else None
 
     @property
-    def lease(self) -> str:
-        """The name of the members' reservations."""
-        return next(iter(self.reports.values())).lease
+    def began(self) -> bool:
+        """Whether any member may have done some of its work."""
+        return bool(self.lost) or any(report.began for report in self.reports.values())
+
+    @property
+    def checkpointed(self) -> bool:
+        """Whether every member stopped after saving its progress."""
+        return all(s in self.reports and self.reports[s].checkpointed for s in self.servers)
 
     @property
     def progress_s(self) -> float:
@@ -81,11 +91,11 @@
 
 
 class GangBoard:
-    """Hold the gangs that servers report, by job and attempt."""
+    """Hold the gangs that servers report, by lease."""
 
     def __init__(self) -> None:
         """Start empty."""
-        self._gangs: dict[tuple[str, int], Gang] = {}
+        self._gangs: dict[str, Gang] = {}
 
     def take(self, server: str, report: TaskReport, now: float) -> Gang:
         """Add a report.
@@ -98,22 +108,21 @@
         Returns:
             The gang that it belongs to.
         """
-        name = (report.job, report.attempt)
-        gang = self._gangs.get(name)
+        gang = self._gangs.get(report.lease)
         if gang is None:
-            gang = Gang(report.job, report.attempt, report.servers, now)
-            self._gangs[name] = gang
+            gang = Gang(report.lease, report.job, report.attempt, report.servers, now)
+            self._gangs[report.lease] = gang
         gang.reports[server] = report
         gang.lost.discard(server)
         return gang
 
-    def find(self, job: str, attempt: int) -> Gang | None:
-        """Return the reports of an attempt, or None."""
-        return self._gangs.get((job, attempt))
+    def find(self, lease: str) -> Gang | None:
+        """Return the reports of a start, or None."""
+        return self._gangs.get(lease)
 
     def forget(self, gang: Gang) -> None:
         """Drop a gang that is settled."""
-        self._gangs.pop((gang.job, gang.attempt), None)
+        self._gangs.pop(gang.lease, None)
 
     def lose(self, server: str) -> list[Gang]:
         """Mark the members on a server as lost.
--- a/app/src/catkinknot/app/_messages.py
+++ b/app/src/catkinknot/app/_messages.py
@@ -44,10 +44,12 @@
     Attributes:
         request: The job.
         wait_s: Seconds to wait for its end before answering.
+        again: Whether another scheduler may have got it before.
     """
 
     request: JobRequest
     wait_s: float
+    again: bool = False
     type: Literal["submit_job"] = "submit_job"
 
 
--- a/app/src/catkinknot/app/_routing.py
+++ b/app/src/catkinknot/app/_routing.py
@@ -9,28 +9,31 @@
 import hashlib
 import math
 
-from catkinknot.model import Configuration, JobRequest, Kind, Zone
+from catkinknot.model import Configuration, JobRequest, Kind
+from catkinknot.scheduler import ZoneCapacity
 
 __all__ = ["zone_order"]
 
 _HASH_BYTES = 8
 
 
-def zone_order(cfg: Configuration, request: JobRequest, kind: Kind) -> list[str]:
+def zone_order(capacity: ZoneCapacity, request: JobRequest, kind: Kind) -> list[str]:
     """List the zones that could run a job, the first choice first.
 
     Zones that back the workspace's guarantee for a gang of this size come
     first, by how much they back. The others follow by their size.
 
     Args:
-        cfg: The configuration in force.
+        capacity: What the zones of the configuration in force can hold.
         request: The job.
         kind: Its kind of work.
 
     Returns:
         Zone names; empty when no zone can hold the gang.
     """
-    fitting = [zone for zone in cfg.zones if _fits(zone, request, kind)]
+    cfg = capacity.cfg
+    size, workspace = request.accelerators, request.workspace
+    fitting = [z for z in cfg.zones if capacity.could_hold(z.name, workspace, size, kind)]
     backing = {zone.name: _backing(cfg, request, zone.name) for zone in fitting}
     key = str(request.job_id)
     scored = []
@@ -43,14 +46,6 @@
     return [name for _, _, name in scored]
 
 
-def _fits(zone: Zone, request: JobRequest, kind: Kind) -> bool:
-    """Tell whether a zone could ever hold the gang."""
-    servers = zone.servers
-    if not kind.across_racks:
-        servers = min(servers, zone.servers_per_rack)
-    return request.accelerators <= servers * zone.accelerators_per_server
-
-
 def _backing(cfg: Configuration, request: JobRequest, zone: str) -> int:
     """Return the accelerators that a zone guarantees for such a gang."""
     workspace = cfg.workspace(request.workspace)
--- a/app/src/catkinknot/app/_session.py
+++ b/app/src/catkinknot/app/_session.py
@@ -33,6 +33,7 @@
     DurableJob,
     JobAccepted,
     JobEnded,
+    StartIntended,
 )
 from catkinknot.scheduler import Decision, DropJob, Job, JobState, Planner, StartJob, StopJob
 
@@ -112,6 +113,7 @@
         self._troubles = Troubles()
         self._doubts: dict[JobId, Doubt] = {}
         self._stubs: set[JobId] = set()
+        self._leases: dict[JobId, str] = {}
         self._starting: set[tuple[JobId, int]] = set()
         self._watches: dict[str, ServerWatch] = {}
         self._boots: dict[str, str] = {}
@@ -190,13 +192,16 @@
             self._planner.configure(cfg)
         self._wake.set()
 
-    def submit(self, request: JobRequest, answer: Answer, wait_s: float) -> None:
+    def submit(
+        self, request: JobRequest, answer: Answer, wait_s: float, *, again: bool = False
+    ) -> None:
         """Run a job, or wait for the one with the same key.
 
         Args:
             request: The job; its kind is not durable.
             answer: Takes the outcome.
             wait_s: Seconds after which to answer that it still runs.
+            again: Whether another scheduler may have got it before.
         """
         now = self._tools.clock.now()
         with self._lock:
@@ -208,7 +213,7 @@
                 answer(known)
                 return
             if self._planner.job(request.job_id) is None:
-                refusal = self._admit(request, now)
+                refusal = self._admit(request, now, again)
                 if refusal is not None:
                     answer(refusal)
                     return
@@ -242,6 +247,10 @@
         with self._lock:
             if self._closed:
                 return
+            job = self._planner.job(job_id)
+            if job is not None and not self._alive(tuple(self._watches)):
+                # A rival may hold a server and have started it there.
+                job.may_have_run = True
             for decision in self._planner.cancel(job_id, self._tools.clock.now()):
                 self._carry_out(decision)
         self._wake.set()
@@ -271,10 +280,16 @@
             case JobAccepted(request=request, zone=zone) if applied.verdict.ok:
                 if zone == self._tools.zone:
                     self.take_from_log(request.job_id)
+            case StartIntended(job=job_id, holder=holder) if applied.verdict.ok:
+                if holder != self._tools.holder:
+                    self._intended_elsewhere(job_id)
             case CancelRequested(job=job_id) if applied.verdict.ok:
                 self._cancel_from_log(job_id)
             case JobEnded(outcome=outcome) if applied.verdict.ok:
                 self._ended_on_log(outcome)
+            case JobEnded(outcome=outcome):
+                # Whatever made the answer invalid, the log knows what is next.
+                self.take_from_log(outcome.job_id)
 
     def take_from_log(self, job_id: JobId) -> None:
         """Schedule a durable job that stands on the log."""
@@ -301,10 +316,12 @@
             self._boots[server] = state.boot
             self._troubles.clear(server, "lost")
             self._set_off(server)
-            reported = {(task.job, task.attempt) for task in state.tasks}
+            reported = {task.lease for task in state.tasks}
             for job in self._planner.running_on(server):
-                if (str(job.job_id), job.attempt) not in reported and job.started_s < now - 1:
+                known = self._leases.get(job.job_id) in reported
+                if not known and (job.job_id, job.attempt) not in self._starting:
                     self._forgotten(job, server)
+            self._forget_members(server, reported)
             for task in state.tasks:
                 self._take_report(server, task, now)
         self._wake.set()
@@ -386,31 +403,33 @@
                 boots = tuple(
                     self._boots.get(part.server, "") for part in decision.placement.slices
                 )
-                self._event(decision.job.job_id, "job.starting", attempt=decision.attempt)
+                job_id = decision.job.job_id
+                self._leases[job_id] = lease_name(job_id, decision.attempt, self._epoch)
+                self._starting.add((job_id, decision.attempt))
+                self._event(job_id, "job.starting", attempt=decision.attempt)
                 self._tools.spawn(self._start, decision, boots)
             case StopJob(job_id=job_id, reason=reason):
                 self._event(job_id, "job.stopping", reason, attempt=decision.attempt)
                 self._tools.metrics.stops.inc({"zone": self._tools.zone})
                 servers = [part.server for part in decision.placement.slices]
-                lease = lease_name(job_id, decision.attempt, self._epoch)
-                gang = self._board.find(str(job_id), decision.attempt)
-                lease = gang.lease if gang else lease
+                lease = self._leases[job_id]
                 self._tools.spawn(self._stop_all, servers, lease, decision.checkpoint)
             case DropJob(job=job, code=code, message=message):
                 self._finish(job, code, message)
 
     def _start(self, decision: StartJob, boots: tuple[str, ...]) -> None:
         """Start a job and take note of what became of it."""
-        name = (decision.job.job_id, decision.attempt)
-        self._starting.add(name)
         try:
             result = self._runner.run(decision, boots)
-        finally:
-            self._starting.discard(name)
+        except Exception as exc:
+            # Whatever went wrong, the start may have happened.
+            log.exception("A start failed inside the service.")
+            result = StartResult(Started.UNKNOWN, reason=type(exc).__name__)
         labels = {"zone": self._tools.zone, "outcome": result.started.value}
         self._tools.metrics.starts.inc(labels)
         job, attempt = decision.job, decision.attempt
         with self._lock:
+            self._starting.discard((job.job_id, attempt))
             if self._closed:
                 return
             text = f"{result.started.value} {result.reason}".strip()
@@ -430,22 +449,35 @@
         now = self._tools.clock.now()
         match result.started:
             case Started.YES:
-                return
+                self._check_runs(job, attempt, decision, boots)
             case Started.FORBIDDEN:
                 self._planner.drop(job.job_id, now)
                 self._take_again(job.job_id)
             case Started.NOT_RECORDED:
                 self._planner.not_started(job.job_id, attempt, now, pause_s=_LOG_PAUSE_S)
                 job.attempt -= 1
-            case Started.NO if job.kind.idempotent:
+            case Started.NO:
                 self._planner.not_started(job.job_id, attempt, now, pause_s=_RETRY_PAUSE_S)
+                if not job.kind.idempotent:
+                    self._clear_attempt(job.job_id, attempt, "no start was sent")
             case Started.UNKNOWN if job.kind.idempotent:
                 self._planner.not_started(job.job_id, attempt, now, pause_s=RESERVE_TTL_S)
             case _:
                 servers = tuple(part.server for part in decision.placement.slices)
-                lease = lease_name(job.job_id, attempt, self._epoch)
+                lease = self._leases[job.job_id]
                 self._doubts[job.job_id] = Doubt(job, attempt, lease, servers, boots, now)
 
+    def _check_runs(
+        self, job: Job, attempt: int, decision: StartJob, boots: tuple[str, ...]
+    ) -> None:
+        """Deal with a server that was replaced while it was asked to start."""
+        if self._planner.job(job.job_id) is not job or job.attempt != attempt:
+            return
+        for part, boot in zip(decision.placement.slices, boots, strict=True):
+            if self._boots.get(part.server, "") != boot and job.state is JobState.RUNNING:
+                self._forgotten(job, part.server)
+                return
+
     def _take_again(self, job_id: JobId) -> None:
         """Read a job from the log again after the log forbade its start."""
         with self._tools.reader.state() as state:
@@ -486,7 +518,7 @@
             request.workspace, request.key, ResultCode.KEY_REUSED, "the key stands for other work"
         )
 
-    def _admit(self, request: JobRequest, now: float) -> Outcome | None:
+    def _admit(self, request: JobRequest, now: float, again: bool) -> Outcome | None:
         """Let a new job wait, or return its refusal."""
         kind = self._cfg.kind(request.kind)
         if kind is None:
@@ -494,7 +526,7 @@
             return Outcome(request.workspace, request.key, code, f"no kind {request.kind}")
         if self._draining:
             return None
-        job = Job(request, kind, now)
+        job = Job(request, kind, now, may_have_run=again)
         try:
             self._planner.submit(job, now)
         except RefusedError as exc:
@@ -519,7 +551,11 @@
                 job, intent.attempt, lease, intent.servers, intent.boots, now
             )
             return
-        self._planner.submit(job, now, must_take=True)
+        try:
+            self._planner.submit(job, now, must_take=True)
+        except RefusedError as exc:
+            self._finish(job, exc.code, exc.message)
+            return
         self._event(request.job_id, "job.queued", "from the log", offset=durable.offset)
         if durable.cancelled:
             self.cancel(request.job_id)
@@ -532,11 +568,20 @@
             return None
         age_s = max(self._tools.clock.wall() - durable.accepted_s, 0.0)
         job = Job(durable.request, kind, now - age_s, attempt=durable.attempts)
-        # Whether an earlier holder started an idempotent job is not on the log.
-        earlier = self._tools.clock.now() - self._began_s < age_s
-        job.may_have_run = earlier if kind.idempotent else durable.attempts > 0
+        # Whether another holder started an idempotent job is not on the log.
+        job.may_have_run = kind.idempotent or durable.attempts > 0
         return job
 
+    def _intended_elsewhere(self, job_id: JobId) -> None:
+        """Resolve a start of another holder that was read only now."""
+        with self._tools.reader.state() as state:
+            durable = state.job(job_id)
+        with self._lock:
+            if self._closed or durable is None or durable.intent is None:
+                return
+            self._planner.drop(job_id, self._tools.clock.now())
+            self._take_durable(durable)
+
     def _cancel_from_log(self, job_id: JobId) -> None:
         """Act on a cancellation that stands on the log."""
         with self._tools.reader.state() as state:
@@ -555,6 +600,7 @@
                 return
             self._planner.drop(outcome.job_id, self._tools.clock.now())
             self._doubts.pop(outcome.job_id, None)
+            self._leases.pop(outcome.job_id, None)
             gang = self._unconfirmed.pop(outcome.job_id, None)
             if gang is not None:
                 self._ack_later(gang)
@@ -567,7 +613,7 @@
         workspace, _, key = report.job.partition("/")
         job = self._planner.job(JobId(workspace, key))
         running = job is not None and job.state in (JobState.RUNNING, JobState.STOPPING)
-        if running and job.attempt == report.attempt:
+        if running and self._leases.get(job.job_id) == report.lease:
             self._judge(job, gang, now)
         else:
             self._judge_stranger(gang, server, report, now)
@@ -584,11 +630,27 @@
             self._conclude_done(job, gang, now)
         elif gang.failure is not None:
             self._conclude_failed(job, gang, now)
-        elif gang.phase_on("lapsed") or gang.lost:
+        elif job.kind.idempotent and (gang.phase_on("lapsed") or gang.lost):
             self._conclude_lost(job, gang, now)
-        else:
+        elif not gang.began:
+            self._conclude_never_began(job, gang, now)
+        elif job.kind.idempotent or gang.checkpointed:
             drop = self._planner.stopped(job.job_id, gang.attempt, now, progress_s=gang.progress_s)
             self._conclude_stopped(job, gang, drop)
+        else:
+            self._conclude_lost(job, gang, now)
+
+    def _conclude_never_began(self, job: Job, gang: Gang, now: float) -> None:
+        """Let a job wait again that none of its members worked on."""
+        self._ack_later(gang)
+        if job.cancelled:
+            self._planner.drop(job.job_id, now)
+        else:
+            self._planner.not_started(job.job_id, gang.attempt, now)
+        if not job.kind.idempotent:
+            self._clear_attempt(job.job_id, gang.attempt, "no member began its work")
+        elif job.cancelled:
+            self._finish(job, ResultCode.CANCELLED, "cancelled before it began")
 
     def _conclude_done(self, job: Job, gang: Gang, now: float) -> None:
         """End a job with its result, or try again when the result is damaged."""
@@ -658,28 +720,33 @@
         """Deal with a task that is not the current attempt of a job here."""
         workspace, _, key = gang.job.partition("/")
         job_id = JobId(workspace, key)
-        if self._superseded(job_id, gang.attempt):
+        if self._superseded(job_id, gang):
             self._discard(gang, server)
             return
         if server in gang.active:
             self._block(server, report)
+        else:
+            self._unblock(server, gang.lease)
         if gang.complete:
             self._adopt(job_id, gang, now)
         elif gang.over:
             self._take_old_end(job_id, gang, now)
 
-    def _superseded(self, job_id: JobId, attempt: int) -> bool:
-        """Tell whether an attempt no longer matters."""
+    def _superseded(self, job_id: JobId, gang: Gang) -> bool:
+        """Tell whether a start no longer matters."""
         if self._recent.find(job_id) is not None:
             return True
         with self._tools.reader.state() as state:
             durable = state.job(job_id)
         if durable is not None and durable.outcome is not None:
             return True
+        if durable is not None and not durable.idempotent:
+            if gang.attempt > durable.attempts:
+                # The log was not read far enough yet to judge this start.
+                return False
+            return durable.intent is None or durable.intent.attempt != gang.attempt
         job = self._planner.job(job_id)
-        if job is None:
-            return False
-        return job.attempt > attempt or job.state is not JobState.WAITING
+        return job is not None and job.state is not JobState.WAITING
 
     def _discard(self, gang: Gang, server: str) -> None:
         """Stop what runs of an attempt that no longer matters."""
@@ -722,6 +789,7 @@
         for server in gang.servers:
             self._unblock(server, gang.lease)
         job.attempt = gang.attempt
+        self._leases[job_id] = gang.lease
         self._doubts.pop(job_id, None)
         try:
             self._planner.adopt(job, gang.placement, now)
@@ -760,44 +828,67 @@
         """Use the end of a gang that an earlier holder started."""
         for server in gang.servers:
             self._unblock(server, gang.lease)
-        self._board.forget(gang)
-        waiting = self._planner.job(job_id)
-        job = waiting or self._doubted_job(job_id, gang.attempt)
+        job = self._planner.job(job_id) or self._doubted_job(job_id, gang.attempt)
         if job is None:
             self._keep_old_answer(job_id, gang, now)
             return
+        if not job.kind.idempotent and job_id not in self._doubts:
+            # The log will soon show the start that this is the end of.
+            return
+        self._board.forget(gang)
         self._doubts.pop(job_id, None)
         if gang.answer is not None and gang.answer.result.whole:
             self._planner.drop(job_id, now)
             self._finish(job, ResultCode.DONE, "", gang=gang)
         elif job.kind.idempotent:
             self._ack_later(gang)
+        elif not gang.began:
+            self._clear_attempt(job_id, gang.attempt, "no member began its work")
+            self._planner.submit(job, now, must_take=True)
+            self._ack_later(gang)
+        elif gang.checkpointed and not job.cancelled:
+            job.progress_s = max(job.progress_s, gang.progress_s)
+            self._clear_attempt(job_id, gang.attempt, "stopped at a checkpoint")
+            self._planner.submit(job, now, must_take=True)
+            self._ack_later(gang)
         else:
             code = ResultCode.JOB_FAILED if gang.failure else ResultCode.LOST
             message = gang.failure[1].message if gang.failure else "it was interrupted"
-            self._planner.drop(job_id, now)
             self._finish(job, code, message, gang=gang)
 
     def _keep_old_answer(self, job_id: JobId, gang: Gang, now: float) -> None:
         """Keep an answer whose caller may still ask for it."""
-        report = gang.answer
-        kind = self._cfg.kind(report.kind) if report else None
-        if report is not None and report.result.whole and kind and not kind.durable:
-            outcome = self._outcome(job_id, ResultCode.DONE, "", gang)
+        report = next(iter(gang.reports.values()))
+        kind = self._cfg.kind(report.kind)
+        if kind is not None and kind.durable:
+            # Only the log says what this belongs to, once it is read.
+            return
+        self._board.forget(gang)
+        if gang.answer is not None and gang.answer.result.whole and kind is not None:
+            outcome = self._outcome(job_id, ResultCode.DONE, "", gang, attempt=gang.attempt)
             self._recent.keep("", outcome, now)
             self._waiters.finish(outcome)
         self._ack_later(gang)
 
     def _settle_strangers(self, now: float) -> None:
-        """Stop gangs of earlier holders that never became complete."""
+        """Judge gangs of earlier holders anew, and end those that never got complete."""
         for gang in self._board.gangs():
             workspace, _, key = gang.job.partition("/")
-            job = self._planner.job(JobId(workspace, key))
-            if job is not None and job.attempt == gang.attempt:
+            job_id = JobId(workspace, key)
+            if self._leases.get(job_id) == gang.lease or now < gang.first_s + RESERVE_TTL_S:
                 continue
-            if gang.active and not gang.complete and now > gang.first_s + RESERVE_TTL_S:
-                gang.first_s = now
+            gang.first_s = now
+            if gang.active and not gang.complete:
                 self._tools.spawn(self._stop_all, gang.active, gang.lease, False)
+            # A server that is held and has not reported a member has none.
+            gang.lost |= {s for s in gang.servers if s in self._claimed and s not in gang.reports}
+            if self._superseded(job_id, gang):
+                for server in list(gang.reports):
+                    self._discard(gang, server)
+            elif gang.complete:
+                self._adopt(job_id, gang, now)
+            elif gang.over:
+                self._take_old_end(job_id, gang, now)
 
     def _confirm(self, gang: Gang) -> None:
         """Let the members of an adopted gang run on."""
@@ -810,18 +901,26 @@
 
     def _forgotten(self, job: Job, server: str) -> None:
         """Deal with a running job that its server no longer knows."""
-        gang = self._board.find(str(job.job_id), job.attempt)
+        lease = self._leases[job.job_id]
+        gang = self._board.find(lease)
         if gang is None:
             servers = tuple(p.server for p in self._planner.placement(job.job_id).slices)
-            gang = Gang(str(job.job_id), job.attempt, servers, self._tools.clock.now())
+            now = self._tools.clock.now()
+            gang = Gang(lease, str(job.job_id), job.attempt, servers, now)
         gang.lost.add(server)
         if gang.over or job.kind.idempotent:
             others = [name for name in gang.servers if name not in gang.lost]
-            lease = lease_name(job.job_id, job.attempt, self._epoch)
             self._tools.spawn(self._stop_all, others, lease, False)
             self._board.forget(gang)
             self._conclude_lost(job, gang, self._tools.clock.now())
 
+    def _forget_members(self, server: str, reported: set[str]) -> None:
+        """Take note that a server no longer knows some members."""
+        for gang in self._board.gangs():
+            if server in gang.servers and gang.lease not in reported:
+                gang.lost.add(server)
+                self._unblock(server, gang.lease)
+
     def _lose_server(self, server: str, reason: str) -> None:
         """Use a server no more and deal with what ran on it."""
         self._claimed.discard(server)
@@ -843,7 +942,7 @@
         """Begin to resolve what became of a job that must not run twice."""
         servers = tuple(part.server for part in self._planner.placement(job.job_id).slices)
         boots = tuple(self._boots.get(server, "") for server in servers)
-        lease = lease_name(job.job_id, job.attempt, self._epoch)
+        lease = self._leases[job.job_id]
         self._doubts[job.job_id] = Doubt(job, job.attempt, lease, servers, boots, now)
 
     def _note_listed(self, listed: ListedInstance) -> None:
@@ -887,13 +986,14 @@
 
     def _finish(self, job: Job, code: ResultCode, message: str, *, gang: Gang | None = None):
         """Give a job its final answer."""
-        outcome = self._outcome(job.job_id, code, message, gang)
+        outcome = self._outcome(job.job_id, code, message, gang, attempt=job.attempt)
         self._event(job.job_id, "job.ended", f"{int(code)} {code.name}", attempt=outcome.attempt)
         if job.kind.durable:
             if gang is not None:
                 self._unconfirmed[job.job_id] = gang
             self._tools.appender.append(JobEnded(outcome))
             return
+        self._leases.pop(job.job_id, None)
         digest = "" if job.job_id in self._stubs else job.request.digest
         self._stubs.discard(job.job_id)
         if not code_info(code).retry:
@@ -902,17 +1002,19 @@
         if gang is not None:
             self._ack_later(gang)
 
-    def _outcome(self, job_id: JobId, code: ResultCode, message: str, gang: Gang | None) -> Outcome:
+    def _outcome(
+        self, job_id: JobId, code: ResultCode, message: str, gang: Gang | None, *, attempt: int
+    ) -> Outcome:
         """Write the final answer of a job."""
-        result = gang.answer.result if gang and gang.answer and code is ResultCode.DONE else None
+        done = gang is not None and gang.answer is not None and code is ResultCode.DONE
         return Outcome(
             workspace=job_id.workspace,
             key=job_id.key,
             code=code,
             message=message,
-            attempt=gang.attempt if gang else 0,
+            attempt=attempt,
             zone=self._tools.zone if gang else "",
-            result=result,
+            result=gang.answer.result if done else None,
         )
 
     def _ack_later(self, gang: Gang) -> None:
@@ -957,6 +1059,10 @@
             if self._closed or self._doubts.get(job_id) is not doubt:
                 return
             match answer:
+                case DoubtAnswer.RUNNING:
+                    gang = self._board.find(doubt.lease)
+                    if gang is not None and gang.complete:
+                        self._tools.spawn(self._confirm, gang)
                 case DoubtAnswer.LOST:
                     del self._doubts[job_id]
                     self._planner.drop(job_id, self._tools.clock.now())
--- a/app/src/catkinknot/app/_starts.py
+++ b/app/src/catkinknot/app/_starts.py
@@ -79,6 +79,7 @@
             kind=decision.job.kind.name,
             body=decision.job.request.body,
             placement=decision.placement,
+            idempotent=decision.job.kind.idempotent,
             progress_s=decision.job.progress_s,
         )
         report = self._starter.start(gang, self._epoch, lambda: self._alive(servers))
--- a/app/src/catkinknot/app/_zone.py
+++ b/app/src/catkinknot/app/_zone.py
@@ -140,8 +140,8 @@
             send(NotHolder() if outcome is None else JobAnswer(outcome))
 
         match message:
-            case SubmitJob(request=request, wait_s=wait_s):
-                session.submit(request, answer, wait_s)
+            case SubmitJob(request=request, wait_s=wait_s, again=again):
+                session.submit(request, answer, wait_s, again=again)
             case AskJob(job=job, wait_s=wait_s):
                 session.ask(job, _unknown_to(job, send), wait_s)
             case CancelJob(job=job):
--- a/libs/backends/src/catkinknot/backends/_gang.py
+++ b/libs/backends/src/catkinknot/backends/_gang.py
@@ -31,6 +31,7 @@
         kind: The kind of work.
         body: What the caller asked for.
         placement: The accelerators.
+        idempotent: Whether a second run does no harm.
         progress_s: Seconds of work that a checkpoint keeps.
     """
 
@@ -39,6 +40,7 @@
     kind: str
     body: dict[str, Any]
     placement: Placement
+    idempotent: bool
     progress_s: float = 0.0
 
 
@@ -48,7 +50,7 @@
 
     Attributes:
         started: Whether the whole gang runs.
-        may_run: Whether any part may run or have run.
+        may_run: Whether any part may have begun its work, or may yet.
         server: The server that did not do its part.
         reason: Why not.
     """
@@ -76,8 +78,9 @@
 class GangStarter:
     """Reserve on every server, start on every server, then confirm.
 
-    Until the last step every reservation and every started task lapses by
-    itself after a few seconds. A holder that dies, or a message that is lost,
+    Members of a gang of several wait, ready, until they are confirmed, and
+    until then every reservation and every member lapses by itself after a few
+    seconds. A holder that dies, or a message that is lost,
     at any step thus leaves no accelerator taken and no part of a gang running
     for longer than that. Two rivals cannot deadlock either: each takes its
     servers in the order of their names and gives all back on any refusal.
@@ -121,13 +124,18 @@
             self._release(lease, parts, epoch)
             return _report(failure, may_run=False)
         failure = self._start(gang, lease, parts, epoch)
-        if failure is not None:
-            return self._give_up(lease, parts, epoch, failure)
-        if len(parts) > 1:
+        if failure is not None and len(parts) > 1:
+            # No member of a gang works before it is extended.
+            self._give_up(lease, parts, epoch)
+            return _report(failure, may_run=False)
+        if failure is None and len(parts) > 1:
             failure = self._confirm(lease, parts, epoch)
-            if failure is not None:
-                return self._give_up(lease, parts, epoch, failure)
-        return StartReport(started=True, may_run=True)
+        if failure is None:
+            return StartReport(started=True, may_run=True)
+        may_run = len(parts) > 1 or not isinstance(failure, BackendRefusedError)
+        if gang.idempotent or not may_run:
+            self._give_up(lease, parts, epoch)
+        return _report(failure, may_run=may_run)
 
     def _reserve(
         self, gang: GangStart, lease: str, parts: list[Slice], epoch: Epoch
@@ -184,15 +192,11 @@
 
         return self._on_all(extend_one, len(parts))
 
-    def _give_up(
-        self, lease: str, parts: list[Slice], epoch: Epoch, failure: BackendError
-    ) -> StartReport:
-        """Stop and release every member after a start that failed."""
-        may_run = len(parts) > 1 or not isinstance(failure, BackendRefusedError)
+    def _give_up(self, lease: str, parts: list[Slice], epoch: Epoch) -> None:
+        """Stop and release every member; what can't be reached lapses."""
         for part in parts:
             self._quietly(part.server, Stop(self._holder, epoch, lease, checkpoint=False))
         self._release(lease, parts, epoch)
-        return _report(failure, may_run=may_run)
 
     def _release(self, lease: str, parts: list[Slice], epoch: Epoch) -> None:
         """Give up the reservations; what can't be reached lapses."""
--- a/libs/backends/src/catkinknot/backends/_protocol.py
+++ b/libs/backends/src/catkinknot/backends/_protocol.py
@@ -26,7 +26,7 @@
     "Throttle",
 ]
 
-TaskPhase = Literal["running", "stopping", "done", "failed", "stopped", "lapsed"]
+TaskPhase = Literal["ready", "running", "stopping", "done", "failed", "stopped", "lapsed"]
 """Where a task stands on its server."""
 
 
@@ -89,6 +89,9 @@
 class Start:
     """Start the task of a reservation.
 
+    The only member of a gang begins its work at once. Each of several waits,
+    ready, until it is extended for the first time.
+
     Attributes:
         holder: The asking instance.
         epoch: Its epoch.
@@ -230,6 +233,8 @@
         servers: All servers of the gang, by rank.
         kind: The kind of work.
         confirmed: Whether it was extended after its start.
+        began: Whether it ever did any of its work.
+        checkpointed: Whether it stopped after saving its progress.
         ran_s: Seconds that it has run.
         progress_s: Seconds of work that a checkpoint keeps.
         used_percent: How busy its accelerators were; it lags.
@@ -246,6 +251,8 @@
     servers: tuple[str, ...]
     kind: str = ""
     confirmed: bool = False
+    began: bool = False
+    checkpointed: bool = False
     ran_s: float = 0.0
     progress_s: float = 0.0
     used_percent: float = 0.0
@@ -280,10 +287,12 @@
 
     Attributes:
         newest: The newest event number.
+        boot: Names the server's run; it knows nothing from before.
         tasks: The tasks that changed since.
     """
 
     newest: int
+    boot: str
     tasks: tuple[TaskReport, ...] = field(default=())
 
 
--- a/libs/backends/src/catkinknot/backends/_watch.py
+++ b/libs/backends/src/catkinknot/backends/_watch.py
@@ -79,6 +79,7 @@
         self._valid_until_s = 0.0
         self._answered_s = self._clock.now()
         self._newest = 0
+        self._boot = ""
 
     @property
     def server(self) -> str:
@@ -139,6 +140,7 @@
         """Ask for the lease and report what the server holds."""
         state = self._client.claim(Claim(self._holder, self._epoch, LEASE_TTL_S))
         self._newest = state.newest
+        self._boot = state.boot
         self._renewed(asked_s)
         with self._lock:
             self._held = True
@@ -157,6 +159,12 @@
                 self._run_ttl_s,
             )
         )
+        if reply.boot != self._boot:
+            # The server was replaced, and somebody else's claim under this
+            # epoch hid it. Claim it again to learn what it holds now.
+            with self._lock:
+                self._held = False
+            return
         self._renewed(asked_s)
         for report in reply.tasks:
             self._listener.task_changed(self.server, report)
--- a/libs/platformlog/src/catkinknot/platformlog/_appender.py
+++ b/libs/platformlog/src/catkinknot/platformlog/_appender.py
@@ -207,6 +207,15 @@
             self._lock.notify_all()
         return empty
 
+    def step(self) -> bool:
+        """Send what waits once, without waiting for anything.
+
+        Returns:
+            False when the service did not take it.
+        """
+        self._fill_batch()
+        return self._send()
+
     def _run(self) -> None:
         """Send batch after batch until closed."""
         pause_s = _FIRST_PAUSE_S
@@ -226,10 +235,15 @@
         """
         with self._lock:
             self._lock.wait_for(lambda: self._queue or self._batch or self._closed)
+        self._fill_batch()
+        return bool(self._batch) or not self._closed
+
+    def _fill_batch(self) -> None:
+        """Take waiting records in hand when the last batch is confirmed."""
+        with self._lock:
             if not self._batch:
                 size = min(_MAX_BATCH, len(self._queue))
                 self._batch = [self._queue.popleft() for _ in range(size)]
-            return bool(self._batch) or not self._closed
 
     def _send(self) -> bool:
         """Send the batch in hand once.
--- a/libs/scheduler/src/catkinknot/scheduler/__init__.py
+++ b/libs/scheduler/src/catkinknot/scheduler/__init__.py
@@ -1,9 +1,10 @@
 """Decide which jobs of one availability zone start, stop or are dropped."""
 
 from ._accounts import Accounts
+from ._capacity import ZoneCapacity, guaranteed_shapes, zone_slots
 from ._decisions import Decision, DropJob, StartJob, StopJob
 from ._job import Job, JobState
-from ._planner import Planner, zone_slots
+from ._planner import Planner
 
 __all__ = [
     "Accounts",
@@ -14,5 +15,7 @@
     "Planner",
     "StartJob",
     "StopJob",
+    "ZoneCapacity",
+    "guaranteed_shapes",
     "zone_slots",
 ]
--- a/libs/scheduler/src/catkinknot/scheduler/_planner.py
+++ b/libs/scheduler/src/catkinknot/scheduler/_planner.py
@@ -3,16 +3,17 @@
 from collections.abc import Iterable
 
 from catkinknot.admission import CallerLimiter, JobQueue, RunTimeEstimator
-from catkinknot.model import Configuration, JobId, ResultCode, Zone
+from catkinknot.model import Configuration, JobId, ResultCode
 from catkinknot.model.exceptions import RefusedError
-from catkinknot.placement import Fleet, Placement, Plan, Slot
+from catkinknot.placement import Fleet, Placement, Plan
 
 from ._accounts import Accounts
+from ._capacity import ZoneCapacity, guaranteed_shapes, zone_slots
 from ._decisions import Decision, DropJob, StartJob, StopJob
 from ._job import Job, JobState
 from ._reserve import Reservation, choose_servers
 
-__all__ = ["Planner", "zone_slots"]
+__all__ = ["Planner"]
 
 _ACCRUE_S = 5.0
 """Charge running jobs at least this often."""
@@ -37,21 +38,6 @@
 _RETRY_PAUSE_S = 0.5
 
 
-def zone_slots(zone: Zone) -> list[Slot]:
-    """List the servers that a configured zone should have.
-
-    Args:
-        zone: The zone.
-
-    Returns:
-        One slot for each server, named ``ZONE-sNNN``.
-    """
-    return [
-        Slot(f"{zone.name}-s{n:03}", n // zone.servers_per_rack, zone.accelerators_per_server)
-        for n in range(zone.servers)
-    ]
-
-
 class Planner:
     """Hold the jobs and the servers of one zone, and decide.
 
@@ -73,8 +59,7 @@
         """
         self._zone = zone
         self._guard = guard
-        found = cfg.zone(zone)
-        self.fleet = fleet or Fleet(zone_slots(found) if found else [])
+        self.fleet = fleet or Fleet(zone_slots(cfg, zone))
         self.estimator = RunTimeEstimator()
         self.accounts = Accounts()
         self._queue = JobQueue()
@@ -92,15 +77,10 @@
             cfg: The configuration.
         """
         self._cfg = cfg
-        shapes = [
-            (workspace.name, shape.accelerators)
-            for workspace in cfg.workspaces
-            for shape in workspace.guarantee
-            for _ in range(shape.count)
-            if shape.zone == self._zone
-        ]
-        self.fleet.set_shapes(shapes)
+        self._capacity = ZoneCapacity(cfg)
+        self.fleet.set_shapes(guaranteed_shapes(cfg, self._zone))
         self.accounts.configure(cfg, self._zone)
+        self._recheck = True
 
     @property
     def waiting(self) -> int:
@@ -136,8 +116,8 @@
         Raises:
             RefusedError: When it was not taken and will not run.
         """
+        self._check_fits(job)
         if not must_take:
-            self._check_fits(job)
             self._check_room(job)
             self._check_deadline(job)
         limits = self._caller_limits(job)
@@ -209,6 +189,7 @@
         out: list[Decision] = []
         self._accrue(now)
         self._drop_late(now, out)
+        self._drop_unplaceable(now, out)
         self._settle_holds(now, out)
         self._plan_guaranteed(now, out)
         self._plan_spare(now, out)
@@ -346,15 +327,18 @@
         return ahead / pace
 
     def _check_fits(self, job: Job) -> None:
-        """Refuse a gang that no place of the zone could ever hold."""
-        most = self.fleet.largest_gang
-        if not job.kind.across_racks:
-            most = min(most, self.fleet.rack_accelerators())
-        if job.accelerators > most:
-            raise RefusedError(
-                f"{job.accelerators} accelerators are more than the {most} that may be used",
-                code=ResultCode.GANG_TOO_LARGE,
-            )
+        """Refuse a gang that the zone could not hold even with nothing running."""
+        if job.attempt or self._fits(job):
+            return
+        raise RefusedError(
+            f"zone {self._zone} can never give {job.accelerators} adjacent accelerators "
+            "and keep what it guarantees",
+            code=ResultCode.GANG_TOO_LARGE,
+        )
+
+    def _fits(self, job: Job) -> bool:
+        """Tell whether the zone could hold a gang with nothing running."""
+        return self._capacity.could_hold(self._zone, job.workspace, job.accelerators, job.kind)
 
     def _check_room(self, job: Job) -> None:
         """Refuse a job when too many of its workspace and kind wait."""
@@ -408,6 +392,16 @@
             reason = f"waited {now - job.arrived_s:.1f} s"
             out.append(self._drop(job, ResultCode.DEADLINE_PASSED, reason, now))
 
+    def _drop_unplaceable(self, now: float, out: list[Decision]) -> None:
+        """Drop waiting jobs that a new configuration leaves no room for."""
+        if not self._recheck:
+            return
+        self._recheck = False
+        for job in self._queue.jobs():
+            if not job.attempt and not self._fits(job):
+                reason = "the configuration in force leaves no room for it"
+                out.append(self._drop(job, ResultCode.GANG_TOO_LARGE, reason, now))
+
     def _settle_holds(self, now: float, out: list[Decision]) -> None:
         """Start held jobs whose place is free now."""
         for job in [job for job in self._jobs.values() if job.state is JobState.HELD]:
