Keep room for large gangs by filling it with work that can stop

Kept servers also stood idle while they drained. Ruled out: the cost function and the queue order, by tracing the reason of each stop. Change: work on a guarantee is never a filler; kept servers take any checkpointable work and it is stopped, and the place held, once nothing else is left there; borrowers may stop those of greedier workspaces after 30 s; the queue is indexed by size so that a pass costs nothing per waiting job.

--- a/app/src/catkinknot/app/_gangs.py
+++ b/app/src/catkinknot/app/_gangs.py
@@ -108,14 +108,32 @@
         Returns:
             The gang that it belongs to.
         """
-        gang = self._gangs.get(report.lease)
-        if gang is None:
-            gang = Gang(report.lease, report.job, report.attempt, report.servers, now)
-            self._gangs[report.lease] = gang
+        gang = self.find_or_add(report.lease, report.job, report.attempt, report.servers, now)
         gang.reports[server] = report
         gang.lost.discard(server)
         return gang
 
+    def find_or_add(
+        self, lease: str, job: str, attempt: int, servers: tuple[str, ...], now: float
+    ) -> Gang:
+        """Return the reports of a start, empty when there were none.
+
+        Args:
+            lease: The name of the members' reservations.
+            job: The job, as ``workspace/key``.
+            attempt: The attempt.
+            servers: All servers of the gang, by rank.
+            now: The present time in seconds.
+
+        Returns:
+            The gang.
+        """
+        gang = self._gangs.get(lease)
+        if gang is None:
+            gang = Gang(lease, job, attempt, servers, now)
+            self._gangs[lease] = gang
+        return gang
+
     def find(self, lease: str) -> Gang | None:
         """Return the reports of a start, or None."""
         return self._gangs.get(lease)
--- a/app/src/catkinknot/app/_session.py
+++ b/app/src/catkinknot/app/_session.py
@@ -447,6 +447,9 @@
     ) -> None:
         """Take note of what became of a start."""
         now = self._tools.clock.now()
+        if result.started in (Started.NO, Started.NOT_RECORDED, Started.FORBIDDEN):
+            # A doubt that arose meanwhile is about a start that was not made.
+            self._doubts.pop(job.job_id, None)
         match result.started:
             case Started.YES:
                 self._check_runs(job, attempt, decision, boots)
@@ -698,7 +701,7 @@
         self._ack_later(gang)
         if not job.kind.idempotent:
             # The stop is proved, so the log may allow the next attempt.
-            self._clear_attempt(job.job_id, gang.attempt, "stopped at a checkpoint")
+            self._clear_attempt(job.job_id, gang.attempt, "stopped at a checkpoint", began=True)
 
     def _learn(self, gang: Gang, ok: bool, now: float) -> None:
         """Judge servers by the end of a gang."""
@@ -848,7 +851,7 @@
             self._ack_later(gang)
         elif gang.checkpointed and not job.cancelled:
             job.progress_s = max(job.progress_s, gang.progress_s)
-            self._clear_attempt(job_id, gang.attempt, "stopped at a checkpoint")
+            self._clear_attempt(job_id, gang.attempt, "stopped at a checkpoint", began=True)
             self._planner.submit(job, now, must_take=True)
             self._ack_later(gang)
         else:
@@ -902,17 +905,15 @@
     def _forgotten(self, job: Job, server: str) -> None:
         """Deal with a running job that its server no longer knows."""
         lease = self._leases[job.job_id]
-        gang = self._board.find(lease)
-        if gang is None:
-            servers = tuple(p.server for p in self._planner.placement(job.job_id).slices)
-            now = self._tools.clock.now()
-            gang = Gang(lease, str(job.job_id), job.attempt, servers, now)
+        servers = tuple(part.server for part in self._planner.placement(job.job_id).slices)
+        now = self._tools.clock.now()
+        gang = self._board.find_or_add(lease, str(job.job_id), job.attempt, servers, now)
         gang.lost.add(server)
         if gang.over or job.kind.idempotent:
             others = [name for name in gang.servers if name not in gang.lost]
             self._tools.spawn(self._stop_all, others, lease, False)
             self._board.forget(gang)
-            self._conclude_lost(job, gang, self._tools.clock.now())
+            self._conclude_lost(job, gang, now)
 
     def _forget_members(self, server: str, reported: set[str]) -> None:
         """Take note that a server no longer knows some members."""
@@ -1082,9 +1083,11 @@
         else:
             self._planner.not_started(job.job_id, doubt.attempt, now, pause_s=_RETRY_PAUSE_S)
 
-    def _clear_attempt(self, job_id: JobId, attempt: int, reason: str) -> None:
+    def _clear_attempt(
+        self, job_id: JobId, attempt: int, reason: str, *, began: bool = False
+    ) -> None:
         """Record that an attempt is not running, so that another may follow."""
-        record = AttemptCleared(job_id, attempt, self._epoch.term, reason)
+        record = AttemptCleared(job_id, attempt, self._epoch.term, reason, began)
         self._tools.appender.append(record)
 
     def _event(self, job_id: JobId, name: str, text: str = "", **cause) -> None:
--- a/app/tests/test_histories.py
+++ b/app/tests/test_histories.py
@@ -22,6 +22,9 @@
     6509: "a replaced server kept the place of an old task blocked",
     7384: "a claim of the doubt resolver hid that a server was replaced",
     7839: "an old task was forgotten before the log showed its start",
+    10689: "a running job whose server had vanished was never concluded",
+    11351: "a doubt about a start that was not made hid the one that was",
+    21973: "a job stopped at a checkpoint and cancelled was said not to have run",
     8779: "an end was acknowledged on a stale view of the log",
 }
 
--- a/libs/admission/src/catkinknot/admission/_queue.py
+++ b/libs/admission/src/catkinknot/admission/_queue.py
@@ -8,6 +8,9 @@
 
 __all__ = ["JobQueue", "Waiting"]
 
+_Lane = OrderedDict[JobId, "Waiting"]
+"""Jobs of one workspace, kind, caller and size, the first in turn first."""
+
 Usage = Callable[[str], float]
 """Tell how much a caller or a kind has used, in accelerator-seconds."""
 
@@ -31,7 +34,7 @@
 
     def __init__(self) -> None:
         """Start empty."""
-        self._lanes: dict[str, dict[str, dict[str, OrderedDict[JobId, Waiting]]]] = {}
+        self._lanes: dict[str, dict[str, dict[str, dict[int, _Lane]]]] = {}
         self._jobs: dict[JobId, Waiting] = {}
         self._counts: dict[tuple[str, str], int] = {}
         self._asked: dict[tuple[str, str], int] = {}
@@ -53,7 +56,7 @@
         """
         workspace, kind = job.job_id.workspace, job.kind.name
         callers = self._lanes.setdefault(workspace, {}).setdefault(kind, {})
-        lane = callers.setdefault(job.caller, OrderedDict())
+        lane = callers.setdefault(job.caller, {}).setdefault(job.accelerators, OrderedDict())
         lane[job.job_id] = job
         if front:
             lane.move_to_end(job.job_id, last=False)
@@ -74,9 +77,11 @@
             return None
         kinds = self._lanes[job_id.workspace]
         callers = kinds[job.kind.name]
-        lane = callers[job.caller]
-        del lane[job_id]
-        if not lane:
+        sizes = callers[job.caller]
+        del sizes[job.accelerators][job_id]
+        if not sizes[job.accelerators]:
+            del sizes[job.accelerators]
+        if not sizes:
             del callers[job.caller]
         if not callers:
             del kinds[job.kind.name]
@@ -106,7 +111,8 @@
         rows = []
         for workspace, kinds in self._lanes.items():
             for kind, callers in kinds.items():
-                oldest = min(next(iter(lane.values())).arrived_s for lane in callers.values())
+                heads = [_first(lane) for sizes in callers.values() for lane in sizes.values()]
+                oldest = min(head.arrived_s for head in heads)
                 rows.append((workspace, kind, self.waiting(workspace, kind), oldest))
         return rows
 
@@ -115,34 +121,45 @@
         return list(self._jobs.values())
 
     def in_turn(
-        self, workspace: str, *, kind_first: Callable[[Kind], bool], caller_usage: Usage
+        self,
+        workspace: str,
+        *,
+        kind_first: Callable[[Kind], bool],
+        caller_usage: Usage,
+        skip: Callable[[Waiting], bool],
     ) -> Iterator[Waiting]:
         """Yield a workspace's jobs in the order in which they should start.
 
         Kinds that are below their floor go first, then the more urgent ones.
         Within a kind the callers take turns, starting with the one that used
-        least.
+        least. A caller's jobs go by arrival.
 
         Args:
             workspace: The workspace.
             kind_first: Whether a kind is below its floor.
             caller_usage: What a caller has used.
+            skip: Whether jobs of this kind and size cannot start now. It is
+                asked again before each job, so that a size that was found
+                not to fit costs nothing however many such jobs wait.
 
         Yields:
             Jobs. The queue may be changed only after the last one.
         """
         kinds = self._lanes.get(workspace, {})
-        heads = [next(iter(next(iter(callers.values())).values())) for callers in kinds.values()]
+        heads = [_first(next(iter(_any(callers).values()))) for callers in kinds.values()]
         heads.sort(key=lambda job: (not kind_first(job.kind), -job.kind.urgency, job.kind.name))
         for head in heads:
-            yield from self._by_caller(kinds[head.kind.name], caller_usage)
+            yield from self._by_caller(kinds[head.kind.name], caller_usage, skip)
 
     def _by_caller(
-        self, callers: dict[str, OrderedDict[JobId, Waiting]], usage: Usage
+        self,
+        callers: dict[str, dict[int, _Lane]],
+        usage: Usage,
+        skip: Callable[[Waiting], bool],
     ) -> Iterator[Waiting]:
         """Yield one job of each caller in turn, the least served caller first."""
         order = sorted(callers, key=lambda caller: (usage(caller), caller))
-        turns = [iter(callers[caller].values()) for caller in order]
+        turns = [_by_arrival(callers[caller], skip) for caller in order]
         while turns:
             left = []
             for turn in turns:
@@ -160,3 +177,29 @@
         if self._counts[lane] == 0:
             del self._counts[lane]
             del self._asked[lane]
+
+
+def _by_arrival(sizes: dict[int, _Lane], skip: Callable[[Waiting], bool]) -> Iterator[Waiting]:
+    """Yield one caller's jobs of a kind by arrival, leaving out sizes to skip."""
+    lanes = [iter(lane.values()) for lane in sizes.values()]
+    heads = [(next(lane), lane) for lane in lanes]
+    while heads:
+        heads = [(job, lane) for job, lane in heads if not skip(job)]
+        if not heads:
+            return
+        job, lane = min(heads, key=lambda head: head[0].arrived_s)
+        heads.remove((job, lane))
+        yield job
+        following = next(lane, None)
+        if following is not None:
+            heads.append((following, lane))
+
+
+def _first(lane: _Lane) -> Waiting:
+    """Return the first job of a lane."""
+    return next(iter(lane.values()))
+
+
+def _any(callers: dict[str, dict[int, _Lane]]) -> dict[int, _Lane]:
+    """Return the lanes of some caller."""
+    return next(iter(callers.values()))
--- a/libs/placement/src/catkinknot/placement/_fleet.py
+++ b/libs/placement/src/catkinknot/placement/_fleet.py
@@ -267,6 +267,10 @@
         known = self._servers.get(server)
         return known.slot if known else None
 
+    def has_bound(self, server: str) -> bool:
+        """Tell whether a guaranteed shape is in use on a server."""
+        return bool(self._servers[server].bound)
+
     def owners(self, server: str) -> list[str]:
         """Return the allocations on a server."""
         known = self._servers.get(server)
@@ -447,6 +451,7 @@
         cost: Cost,
         across_racks: bool = False,
         keep: frozenset[str] = frozenset(),
+        avoid: frozenset[str] = frozenset(),
     ) -> Plan | None:
         """Find a place on a workspace's guarantee, stopping borrowers if need be.
 
@@ -456,6 +461,7 @@
             cost: What stopping an allocation loses.
             across_racks: Whether it may span neighbouring racks.
             keep: Allocations that must not be stopped.
+            avoid: Servers to use only when no other will do.
 
         Returns:
             The cheapest plan, None when the guarantee has no room.
@@ -466,11 +472,11 @@
                 continue
             if shape.place is not None:
                 plans += self._plans_inside(shape, accelerators)
-        plan = self._cheapest(plans, cost, keep)
-        if plan is not None and not plan.victims:
+        plan = self._cheapest(plans, cost, keep, avoid)
+        if plan is not None and not plan.victims and not _uses(plan.placement, avoid):
             return plan
-        fresh = self._plan_fresh(workspace, accelerators, cost, across_racks, keep)
-        return self._cheapest([p for p in (plan, fresh) if p is not None], cost, keep)
+        fresh = self._plan_fresh(workspace, accelerators, cost, across_racks, keep, avoid)
+        return self._cheapest([p for p in (plan, fresh) if p is not None], cost, keep, avoid)
 
     def find_preempting(
         self,
@@ -614,26 +620,31 @@
             names |= self._servers[part.server].owners_in(part.mask)
         return tuple(sorted(names))
 
-    def _cheapest(self, plans: list[Plan], cost: Cost, keep: frozenset[str]) -> Plan | None:
+    def _cheapest(
+        self,
+        plans: list[Plan],
+        cost: Cost,
+        keep: frozenset[str],
+        avoid: frozenset[str] = frozenset(),
+    ) -> Plan | None:
         """Return the plan whose victims lose least.
 
         Args:
             plans: The plans.
             cost: What stopping an allocation loses.
             keep: Allocations that must not be stopped.
+            avoid: Servers to use only when no other will do.
 
         Returns:
             The cheapest plan that stops only what may be stopped, or None.
         """
-        best = None
-        best_cost = 0.0
-        for plan in plans:
-            if not self._may_stop_all(plan.victims, keep):
-                continue
-            total = sum(cost(name) for name in plan.victims)
-            if best is None or total < best_cost:
-                best, best_cost = plan, total
-        return best
+        allowed = [plan for plan in plans if self._may_stop_all(plan.victims, keep)]
+
+        def rank(plan: Plan) -> tuple[bool, float]:
+            """Rank a plan: the best first."""
+            return _uses(plan.placement, avoid), sum(cost(name) for name in plan.victims)
+
+        return min(allowed, key=rank, default=None)
 
     def _may_stop_all(self, victims: tuple[str, ...], keep: frozenset[str]) -> bool:
         """Tell whether every victim is a borrower that may be stopped."""
@@ -657,7 +668,13 @@
         return plans
 
     def _plan_fresh(
-        self, workspace: str, accelerators: int, cost: Cost, across: bool, keep: frozenset[str]
+        self,
+        workspace: str,
+        accelerators: int,
+        cost: Cost,
+        across: bool,
+        keep: frozenset[str],
+        avoid: frozenset[str],
     ) -> Plan | None:
         """Bind a further shape at the cheapest place that keeps the others."""
         unbound = [
@@ -676,9 +693,10 @@
                 victims = self._victims(place)
                 if self._may_stop_all(victims, keep):
                     total = sum(cost(name) for name in victims)
-                    ranked.append((total, self._breaks(bind), Plan(place, victims, shape, bind)))
-        ranked.sort(key=lambda row: row[:2])
-        for _, _, plan in ranked:
+                    rank = (_uses(bind, avoid), total, self._breaks(bind))
+                    ranked.append((rank, Plan(place, victims, shape, bind)))
+        ranked.sort(key=lambda row: row[0])
+        for _, plan in ranked:
             if self._keeps_guarantees(plan.bind, but=shape):
                 return plan
         return None
@@ -829,6 +847,11 @@
         return largest_cell(size, rest[part.server], part.mask)
 
 
+def _uses(placement: Placement, servers: frozenset[str]) -> bool:
+    """Tell whether a place uses any of some servers."""
+    return any(part.server in servers for part in placement.slices)
+
+
 def _same_shape(shapes: list[Shape], workspace: str, accelerators: int) -> Shape | None:
     """Find a shape of the same owner and size, or None."""
     for shape in shapes:
--- a/libs/platformlog/src/catkinknot/platformlog/_records.py
+++ b/libs/platformlog/src/catkinknot/platformlog/_records.py
@@ -99,19 +99,21 @@
 
 @dataclass(frozen=True)
 class AttemptCleared:
-    """Record the proof that an attempt never started and never will.
+    """Record the proof that an attempt is not running and never will.
 
     Attributes:
         job: The job.
         attempt: The attempt.
         term: The term of the holder that asked the backend servers.
         reason: How it is known.
+        began: Whether it did some work before it stopped at a checkpoint.
     """
 
     job: JobId
     attempt: int
     term: int
     reason: str
+    began: bool
     type: Literal["attempt_cleared"] = "attempt_cleared"
 
 
--- a/libs/platformlog/src/catkinknot/platformlog/_state.py
+++ b/libs/platformlog/src/catkinknot/platformlog/_state.py
@@ -106,7 +106,8 @@
         accepted_s: Seconds since 1970 when the log service took it.
         attempts: Starts intended so far.
         intent: The last intended start, None when there is none or it is
-            known never to have happened.
+            known to be over.
+        began: Whether an attempt did some work before it was stopped.
         cancelled: Whether its end was asked for after an intended start.
         outcome: The final answer, None while there is none.
         ended_s: Seconds since 1970 of the final answer.
@@ -119,6 +120,7 @@
     accepted_s: float
     attempts: int = 0
     intent: StartIntended | None = None
+    began: bool = False
     cancelled: bool = False
     outcome: Outcome | None = None
     ended_s: float = 0.0
@@ -291,7 +293,7 @@
             return Verdict(entry.offset, False, ResultCode.CONFIG_CONFLICT, "the job has ended")
         if record.term < self.zone_term(job.intent.zone).term:
             return Verdict(entry.offset, False, ResultCode.CONFIG_CONFLICT, "the term is over")
-        cleared = replace(job, intent=None)
+        cleared = replace(job, intent=None, began=job.began or record.began)
         if job.cancelled:
             cleared = self._cancelled(cleared, entry)
         self.jobs[str(record.job)] = cleared
@@ -313,11 +315,12 @@
         return Verdict(entry.offset, ok=True)
 
     def _cancelled(self, job: DurableJob, entry: Entry) -> DurableJob:
-        """End a job that never started."""
+        """End a cancelled job that is not running."""
         request = job.request
-        outcome = Outcome(
-            request.workspace, request.key, ResultCode.CANCELLED, "cancelled before it started"
-        )
+        code, message = ResultCode.CANCELLED, "cancelled before it started"
+        if job.began:
+            code, message = ResultCode.STOPPED, "cancelled after a part of it had run"
+        outcome = Outcome(request.workspace, request.key, code, message)
         return replace(job, outcome=outcome, cancelled=True, ended_s=entry.at_s)
 
     def _end(self, record: JobEnded, entry: Entry) -> Verdict:
--- a/libs/scheduler/src/catkinknot/scheduler/_accounts.py
+++ b/libs/scheduler/src/catkinknot/scheduler/_accounts.py
@@ -63,6 +63,10 @@
         """Return the accelerators that a workspace runs on."""
         return self._running.get(workspace, 0)
 
+    def active(self) -> set[str]:
+        """Return the workspaces that run anything."""
+        return {name for name, accelerators in self._running.items() if accelerators}
+
     def guaranteed(self, workspace: str) -> int:
         """Return the accelerators that a workspace is guaranteed here."""
         return self._guaranteed.get(workspace, 0)
--- a/libs/scheduler/src/catkinknot/scheduler/_planner.py
+++ b/libs/scheduler/src/catkinknot/scheduler/_planner.py
@@ -1,6 +1,8 @@
 """Decide which job of one zone starts, stops or is dropped next."""
 
-from collections.abc import Iterable
+import heapq
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass
 
 from catkinknot.admission import CallerLimiter, JobQueue, RunTimeEstimator
 from catkinknot.model import Configuration, JobId, ResultCode
@@ -29,6 +31,10 @@
 """From this urgency on, a borrower may stop much less urgent borrowers."""
 
 _URGENCY_GAP = 3
+_FAIR_AFTER_S = 30.0
+"""A borrower that waited this long may stop those of greedier workspaces."""
+
+_LITTLE_WORK_S = 10.0
 _CHECKPOINT_LOSS_S = 1.0
 """Seconds of work that a checkpoint and a restart cost."""
 
@@ -38,6 +44,21 @@
 _RETRY_PAUSE_S = 0.5
 
 
+@dataclass(frozen=True)
+class _Wants:
+    """Describe what jobs that fit alike need of a place.
+
+    Attributes:
+        accelerators: The gang's size.
+        stoppable: Whether it may be stopped for others.
+        across_racks: Whether it may span neighbouring racks.
+    """
+
+    accelerators: int
+    stoppable: bool
+    across_racks: bool
+
+
 class Planner:
     """Hold the jobs and the servers of one zone, and decide.
 
@@ -66,6 +87,9 @@
         self._limiter = CallerLimiter()
         self._jobs: dict[JobId, Job] = {}
         self._named: dict[str, Job] = {}
+        self._held: dict[JobId, Job] = {}
+        self._stopping: dict[str, Job] = {}
+        self._deadlines: list[tuple[float, str]] = []
         self._reservations: list[Reservation] = []
         self._accrued_s = 0.0
         self.configure(cfg)
@@ -133,6 +157,8 @@
         self._jobs[job.job_id] = job
         self._named[str(job.job_id)] = job
         self._queue.add(job)
+        if not job.kind.durable and not job.may_have_run:
+            heapq.heappush(self._deadlines, (job.deadline_s, str(job.job_id)))
 
     def adopt(self, job: Job, placement: Placement, now: float) -> None:
         """Take over a job that another holder has started.
@@ -383,12 +409,11 @@
 
     def _drop_late(self, now: float, out: list[Decision]) -> None:
         """Drop waiting jobs whose deadline has passed, if they never started."""
-        late = [
-            job
-            for job in self._queue.jobs()
-            if now >= job.deadline_s and not job.may_have_run and not job.kind.durable
-        ]
-        for job in late:
+        while self._deadlines and self._deadlines[0][0] <= now:
+            _, name = heapq.heappop(self._deadlines)
+            job = self._named.get(name)
+            if job is None or job.may_have_run or job.job_id not in self._queue:
+                continue
             reason = f"waited {now - job.arrived_s:.1f} s"
             out.append(self._drop(job, ResultCode.DEADLINE_PASSED, reason, now))
 
@@ -404,15 +429,17 @@
 
     def _settle_holds(self, now: float, out: list[Decision]) -> None:
         """Start held jobs whose place is free now."""
-        for job in [job for job in self._jobs.values() if job.state is JobState.HELD]:
+        for job in list(self._held.values()):
             name = str(job.job_id)
             if self.fleet.hold_broken(name):
                 self.fleet.drop_hold(name)
+                del self._held[job.job_id]
                 job.state = JobState.WAITING
                 self._queue.add(job, front=True)
             elif self.fleet.hold_ready(name):
                 plan = self.fleet.held_plan(name)
                 self.fleet.drop_hold(name)
+                del self._held[job.job_id]
                 out.append(self._start(job, plan, now))
 
     def _plan_guaranteed(self, now: float, out: list[Decision]) -> None:
@@ -421,18 +448,13 @@
             if self.accounts.guaranteed(workspace) == 0:
                 continue
             planned = []
-            full_at = None
-            for job in self._in_turn(workspace, now):
-                if full_at is not None and job.accelerators >= full_at:
-                    continue
-                if not self.fleet.guaranteed_room(workspace, job.accelerators):
-                    full_at = job.accelerators
-                    if full_at == 1:
-                        break
-                    continue
-                plan = self._guaranteed_plan(job, now)
+            full: set[int] = set()
+            for job in self._in_turn(workspace, now, lambda job: job.accelerators in full):  # noqa: B023
+                plan = None
+                if self.fleet.guaranteed_room(workspace, job.accelerators):
+                    plan = self._guaranteed_plan(job, now)
                 if plan is None:
-                    full_at = job.accelerators
+                    full.add(job.accelerators)
                     continue
                 planned.append(job)
                 self._begin(job, plan, now, out)
@@ -446,7 +468,8 @@
             job.accelerators,
             cost=lambda name: self._cost(name, now),
             across_racks=job.kind.across_racks,
-            keep=self._stopping(),
+            keep=frozenset(self._stopping),
+            avoid=self._kept_servers(job, now),
         )
         if plan is None or not plan.victims:
             return plan
@@ -458,9 +481,15 @@
 
     def _plan_spare(self, now: float, out: list[Decision]) -> None:
         """Share free room among the workspaces that want it."""
-        turns = {ws: self._in_turn(ws, now) for ws in self._queue.workspaces()}
         planned: list[Job] = []
-        tight: set[tuple[int, bool, bool]] = set()
+        tight: set[_Wants] = set()
+        self._plan_reserved(now, planned, out)
+
+        def skip(job: Job) -> bool:
+            """Tell whether such a job was found not to fit in this pass."""
+            return _wants(job) in tight
+
+        turns = {ws: self._in_turn(ws, now, skip) for ws in self._queue.workspaces()}
         looked_at = 0
         while turns and looked_at < _SCAN_LIMIT:
             workspace = min(turns, key=lambda ws: (self.accounts.weight(ws, now), ws))
@@ -469,21 +498,28 @@
                 del turns[workspace]
                 continue
             looked_at += 1
-            wants = (job.accelerators, _stoppable(job), job.kind.across_racks)
-            if wants in tight and not self._has_reservation(job):
-                continue
-            plan = self._free_plan(job, now) or self._urgent_plan(job, now)
+            plan = self._free_plan(job, now) or self._borrower_plan(job, now)
             if plan is None:
-                tight.add(wants)
+                tight.add(_wants(job))
                 self._keep_room(job, now)
                 continue
             planned.append(job)
             self._begin(job, plan, now, out)
         for job in planned:
             self._queue.remove(job.job_id)
-        self._preempt_backfill(now, out)
 
-    def _in_turn(self, workspace: str, now: float):
+    def _plan_reserved(self, now: float, planned: list[Job], out: list[Decision]) -> None:
+        """Start the jobs first that room is kept for."""
+        for reservation in list(self._reservations):
+            job = self._jobs.get(reservation.job_id)
+            if job is None or job.state is not JobState.WAITING or job.not_before_s > now:
+                continue
+            plan = self._free_plan(job, now) or self._backfill_plan(job, reservation, now)
+            if plan is not None:
+                planned.append(job)
+                self._begin(job, plan, now, out)
+
+    def _in_turn(self, workspace: str, now: float, skip: Callable[[Job], bool]) -> Iterator[Job]:
         """Yield a workspace's jobs that may start now, in turn."""
         jobs = self._queue.in_turn(
             workspace,
@@ -492,6 +528,7 @@
                 and self.accounts.below_floor(workspace, kind.name, kind.floor_share)
             ),
             caller_usage=lambda caller: self.accounts.caller_use(workspace, caller, now),
+            skip=skip,
         )
         return (job for job in jobs if job.state is JobState.WAITING and job.not_before_s <= now)
 
@@ -505,31 +542,52 @@
             avoid=avoid | frozenset(job.failed_on),
         )
 
-    def _urgent_plan(self, job: Job, now: float) -> Plan | None:
-        """Stop much less urgent borrowers for an urgent one within its share."""
-        if not self._guard or job.kind.urgency < _URGENT:
+    def _backfill_plan(self, job: Job, reservation: Reservation, now: float) -> Plan | None:
+        """Stop the jobs that were let in on kept servers, if that is enough."""
+        return self._preempting_plan(
+            job, now, lambda victim: str(victim.job_id) in reservation.backfilled
+        )
+
+    def _borrower_plan(self, job: Job, now: float) -> Plan | None:
+        """Stop other borrowers for one whose workspace has less than its share."""
+        if not self._guard:
             return None
-        active = set(self._queue.workspaces()) | {j.workspace for j in self._jobs.values()}
-        fair = self.accounts.fair_accelerators(job.workspace, self.fleet.accelerators, active)
-        if self.accounts.running(job.workspace) + job.accelerators > fair:
+        urgent = job.kind.urgency >= _URGENT
+        if not urgent and now - job.arrived_s < _FAIR_AFTER_S:
             return None
-        stopping = self._stopping()
+        active = set(self._queue.workspaces()) | self.accounts.active()
+        total = self.fleet.accelerators
+        fair = {name: self.accounts.fair_accelerators(name, total, active) for name in active}
+        wanted = self.accounts.running(job.workspace) + job.accelerators
+        if wanted > fair.get(job.workspace, 0.0):
+            return None
+
+        def may_stop(victim: Job) -> bool:
+            """Tell whether a borrower may be stopped for this job."""
+            much_less = victim.kind.urgency + _URGENCY_GAP <= job.kind.urgency
+            if urgent and much_less:
+                return True
+            greedy = self.accounts.running(victim.workspace) > fair.get(victim.workspace, 0.0)
+            return greedy and victim.kind.checkpointable
 
-        def may_stop(name: str) -> bool:
+        return self._preempting_plan(job, now, may_stop)
+
+    def _preempting_plan(
+        self, job: Job, now: float, may_stop: Callable[[Job], bool]
+    ) -> Plan | None:
+        """Find the cheapest place by stopping borrowers that may be stopped."""
+
+        def allowed(name: str) -> bool:
             """Tell whether an allocation may be stopped for this job."""
             victim = self._named.get(name)
-            return (
-                victim is not None
-                and name not in stopping
-                and victim.kind.urgency + _URGENCY_GAP <= job.kind.urgency
-            )
+            return victim is not None and name not in self._stopping and may_stop(victim)
 
         return self.fleet.find_preempting(
             job.accelerators,
             cost=lambda name: self._cost(name, now),
             across_racks=job.kind.across_racks,
             stoppable=_stoppable(job),
-            may_stop=may_stop,
+            may_stop=allowed,
         )
 
     def _begin(self, job: Job, plan: Plan, now: float, out: list[Decision]) -> None:
@@ -541,11 +599,23 @@
         for name in plan.victims:
             victim = self._named[name]
             reason = f"its place is needed by {job.job_id}"
-            checkpoint = victim.kind.checkpointable
+            checkpoint = self._should_checkpoint(victim, job, now)
             out.append(self._stop(victim, now, checkpoint=checkpoint, reason=reason))
         self.fleet.hold(str(job.job_id), plan)
+        self._held[job.job_id] = job
         job.state = JobState.HELD
 
+    def _should_checkpoint(self, victim: Job, job: Job, now: float) -> bool:
+        """Tell whether a victim saves its progress before it makes room.
+
+        Urgent work does not wait for the checkpoint of work that has done
+        little so far and may run again.
+        """
+        if not victim.kind.checkpointable:
+            return False
+        little = now - victim.started_s < _LITTLE_WORK_S
+        return not (job.kind.urgency >= _URGENT and victim.kind.idempotent and little)
+
     def _start(self, job: Job, plan: Plan, now: float) -> StartJob:
         """Take the accelerators of a plan."""
         self.fleet.take(str(job.job_id), job.workspace, plan, stoppable=_stoppable(job))
@@ -560,6 +630,7 @@
     def _stop(self, job: Job, now: float, *, checkpoint: bool, reason: str) -> StopJob:
         """Begin to stop a running job."""
         job.state = JobState.STOPPING
+        self._stopping[str(job.job_id)] = job
         return StopJob(job.job_id, job.attempt, self.placement(job.job_id), checkpoint, reason)
 
     def _drop(self, job: Job, code: ResultCode, message: str, now: float) -> DropJob:
@@ -572,6 +643,7 @@
     ) -> None:
         """Free a job's accelerators and let it wait for another attempt."""
         self.fleet.release(str(job.job_id))
+        self._stopping.pop(str(job.job_id), None)
         self.accounts.stop(job, now)
         job.state = JobState.WAITING
         job.not_before_s = now + pause_s
@@ -585,6 +657,8 @@
         if job.state in (JobState.RUNNING, JobState.STOPPING):
             self.accounts.stop(job, job.started_s if now is None else now)
         self._queue.remove(job_id)
+        self._held.pop(job_id, None)
+        self._stopping.pop(name, None)
         self.fleet.drop_hold(name)
         self.fleet.release(name)
         self._limiter.finish(job.workspace, job.caller, job.accelerators)
@@ -602,12 +676,6 @@
         seconds = now - job.started_s + job.progress_s
         self.estimator.record(job.workspace, job.kind.name, seconds)
 
-    def _stopping(self) -> frozenset[str]:
-        """Return the allocations that are stopping already."""
-        return frozenset(
-            str(job.job_id) for job in self._jobs.values() if job.state is JobState.STOPPING
-        )
-
     def _cost(self, name: str, now: float) -> float:
         """Return the accelerator-seconds that stopping an allocation loses.
 
@@ -644,7 +712,7 @@
             if reservation.job_id == job.job_id:
                 continue
             brief = known and now + run_s <= reservation.free_at_s and _stoppable(job)
-            if not brief:
+            if not brief and not job.kind.checkpointable:
                 kept |= reservation.servers
         return frozenset(kept)
 
@@ -668,24 +736,17 @@
 
     def _note_backfill(self, job: Job, plan: Plan) -> None:
         """Remember short jobs that were let in on kept servers."""
+        if plan.shape is not None:
+            return
         on = {part.server for part in plan.placement.slices}
         for reservation in self._reservations:
             if reservation.job_id != job.job_id and on & reservation.servers:
                 reservation.backfilled.add(str(job.job_id))
 
-    def _preempt_backfill(self, now: float, out: list[Decision]) -> None:
-        """Stop short jobs that overstay on kept servers."""
-        for reservation in self._reservations:
-            owners = {name for server in reservation.servers for name in self.fleet.owners(server)}
-            overdue = owners and owners <= reservation.backfilled
-            if not overdue or now < reservation.free_at_s:
-                continue
-            for name in sorted(owners):
-                job = self._named.get(name)
-                if job is not None and job.state is JobState.RUNNING and _stoppable(job):
-                    reason = f"it overstayed on room kept for {reservation.job_id}"
-                    checkpoint = job.kind.checkpointable
-                    out.append(self._stop(job, now, checkpoint=checkpoint, reason=reason))
+
+def _wants(job: Job) -> _Wants:
+    """Describe what a job needs of a place."""
+    return _Wants(job.accelerators, _stoppable(job), job.kind.across_racks)
 
 
 def _stoppable(job: Job) -> bool:
--- a/libs/scheduler/src/catkinknot/scheduler/_reserve.py
+++ b/libs/scheduler/src/catkinknot/scheduler/_reserve.py
@@ -8,6 +8,9 @@
 
 __all__ = ["Reservation", "choose_servers"]
 
+_BOUND_WAIT_S = 60.0
+"""Count a server in use under a guarantee as free this much later."""
+
 Remaining = Callable[[str], float]
 """Tell how many seconds an allocation will go on, as far as one can know."""
 
@@ -67,6 +70,9 @@
         if server in avoid or fleet.is_off(server):
             continue
         wait = max((remaining(name) for name in fleet.owners(server)), default=0.0)
+        if fleet.has_bound(server):
+            # Its owner may put one job after the other there.
+            wait += _BOUND_WAIT_S
         waits.append((wait, server))
     waits.sort()
     servers: list[str] = []
--- /dev/null
+++ b/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measure the decisions and the running system."""
