Let urgent work reclaim its own guarantee from its workspace's slower work

Cause: proofs of a workspace whose own colour checks filled its guarantee had to wait for them, as nothing that runs on a guarantee could be stopped. Ruled out: queue order; the proofs were first in line. Change: an urgent job may stop much less urgent jobs on the same guarantee.

--- a/libs/placement/src/catkinknot/placement/_fleet.py
+++ b/libs/placement/src/catkinknot/placement/_fleet.py
@@ -323,6 +323,14 @@
                     return True
         return False
 
+    def guaranteed_jobs(self, workspace: str) -> set[str]:
+        """Return the allocations that run on a workspace's guarantee."""
+        names: set[str] = set()
+        for shape in self._shapes:
+            if shape.workspace == workspace:
+                names |= shape.jobs & self._allocations.keys()
+        return names
+
     def take(self, name: str, workspace: str, plan: Plan, *, stoppable: bool) -> Allocation:
         """Hold the accelerators of a plan.
 
@@ -457,6 +465,7 @@
         across_racks: bool = False,
         keep: frozenset[str] = frozenset(),
         avoid: frozenset[str] = frozenset(),
+        own: frozenset[str] = frozenset(),
     ) -> Plan | None:
         """Find a place on a workspace's guarantee, stopping borrowers if need be.
 
@@ -467,6 +476,7 @@
             across_racks: Whether it may span neighbouring racks.
             keep: Allocations that must not be stopped.
             avoid: Servers to use only when no other will do.
+            own: Jobs on this workspace's guarantee that may be stopped too.
 
         Returns:
             The cheapest plan, None when the guarantee has no room.
@@ -476,12 +486,13 @@
             if shape.workspace != workspace or shape.accelerators < accelerators:
                 continue
             if shape.place is not None:
-                plans += self._plans_inside(shape, accelerators)
-        plan = self._cheapest(plans, cost, keep, avoid)
+                plans += self._plans_inside(shape, accelerators, own)
+        plan = self._cheapest(plans, cost, keep, avoid, own)
         if plan is not None and not plan.victims and not _uses(plan.placement, avoid):
             return plan
         fresh = self._plan_fresh(workspace, accelerators, cost, across_racks, keep, avoid)
-        return self._cheapest([p for p in (plan, fresh) if p is not None], cost, keep, avoid)
+        found = [p for p in (plan, fresh) if p is not None]
+        return self._cheapest(found, cost, keep, avoid, own)
 
     def find_preempting(
         self,
@@ -631,6 +642,7 @@
         cost: Cost,
         keep: frozenset[str],
         avoid: frozenset[str] = frozenset(),
+        own: frozenset[str] = frozenset(),
     ) -> Plan | None:
         """Return the plan whose victims lose least.
 
@@ -639,11 +651,12 @@
             cost: What stopping an allocation loses.
             keep: Allocations that must not be stopped.
             avoid: Servers to use only when no other will do.
+            own: Jobs on a guarantee that may be stopped too.
 
         Returns:
             The cheapest plan that stops only what may be stopped, or None.
         """
-        allowed = [plan for plan in plans if self._may_stop_all(plan.victims, keep)]
+        allowed = [plan for plan in plans if self._may_stop_all(plan.victims, keep, own)]
 
         def rank(plan: Plan) -> tuple[bool, float]:
             """Rank a plan: the best first."""
@@ -651,26 +664,29 @@
 
         return min(allowed, key=rank, default=None)
 
-    def _may_stop_all(self, victims: tuple[str, ...], keep: frozenset[str]) -> bool:
-        """Tell whether every victim is a borrower that may be stopped."""
+    def _may_stop_all(
+        self, victims: tuple[str, ...], keep: frozenset[str], own: frozenset[str] = frozenset()
+    ) -> bool:
+        """Tell whether every victim may be stopped."""
         for name in victims:
             allocation = self._allocations[name]
-            if name in keep or allocation.shape is not None or not allocation.stoppable:
+            borrows = allocation.shape is None or name in own
+            if name in keep or not borrows or not allocation.stoppable:
                 return False
         return True
 
-    def _plans_inside(self, shape: Shape, accelerators: int) -> list[Plan]:
+    def _plans_inside(self, shape: Shape, accelerators: int, own: frozenset[str]) -> list[Plan]:
         """List the places for a gang inside a bound shape."""
-        inside = {
-            part.server: 0
-            if self._servers[part.server].off
-            else part.mask & ~(self._servers[part.server].charged | self._servers[part.server].held)
-            for part in shape.place.slices
-        }
-        plans = []
-        for place in self._places(accelerators, inside, True, lambda _: 0.0):
-            plans.append(Plan(place, self._victims(place), shape))
-        return plans
+        inside = {}
+        for part in shape.place.slices:
+            server = self._servers[part.server]
+            yielding = sum(server.owners.get(name, 0) for name in own)
+            taken = (server.charged & ~yielding) | server.held
+            inside[part.server] = 0 if server.off else part.mask & ~taken
+        return [
+            Plan(place, self._victims(place), shape)
+            for place in self._places(accelerators, inside, True, lambda _: 0.0)
+        ]
 
     def _plan_fresh(
         self,
--- a/libs/scheduler/src/catkinknot/scheduler/_planner.py
+++ b/libs/scheduler/src/catkinknot/scheduler/_planner.py
@@ -452,8 +452,9 @@
             full: set[int] = set()
             for job in self._in_turn(workspace, now, lambda job: job.accelerators in full):  # noqa: B023
                 plan = None
-                if self.fleet.guaranteed_room(workspace, job.accelerators):
-                    plan = self._guaranteed_plan(job, now)
+                own = self._own_victims(job)
+                if own or self.fleet.guaranteed_room(workspace, job.accelerators):
+                    plan = self._guaranteed_plan(job, now, own)
                 if plan is None:
                     full.add(job.accelerators)
                     continue
@@ -462,7 +463,19 @@
             for job in planned:
                 self._queue.remove(job.job_id)
 
-    def _guaranteed_plan(self, job: Job, now: float) -> Plan | None:
+    def _own_victims(self, job: Job) -> frozenset[str]:
+        """Return much less urgent jobs on the same guarantee, for an urgent one."""
+        if not self._guard or job.kind.urgency < _URGENT:
+            return frozenset()
+        return frozenset(
+            name
+            for name in self.fleet.guaranteed_jobs(job.workspace)
+            if name not in self._stopping
+            and name in self._named
+            and self._named[name].kind.urgency + _URGENCY_GAP <= job.kind.urgency
+        )
+
+    def _guaranteed_plan(self, job: Job, now: float, own: frozenset[str]) -> Plan | None:
         """Choose between the guarantee, a free place and stopping others."""
         plan = self.fleet.find_guaranteed(
             job.workspace,
@@ -471,6 +484,7 @@
             across_racks=job.kind.across_racks,
             keep=frozenset(self._stopping),
             avoid=self._kept_servers(job, now) | frozenset(job.failed_on),
+            own=own,
         )
         if plan is None or not plan.victims:
             return plan
