--- /dev/null
+++ b/tools/build_binary.py
@@ -0,0 +1,146 @@
+"""Build the one executable file for every role and verb: `make binary`.
+
+The file is a zip archive with a first line that names the interpreter. At
+its start it unpacks its compiled modules once into memory-backed storage and
+goes on in the same process.
+"""
+
+import hashlib
+import os
+import shutil
+import sys
+import sysconfig
+import tempfile
+import zipapp
+import zipfile
+from importlib import metadata
+from pathlib import Path
+
+from packaging.requirements import Requirement
+
+ROOT = Path(__file__).resolve().parent.parent
+_INTERPRETER = "/usr/bin/env python3.11"
+_SKIPPED = {"tests", "__pycache__"}
+
+_MAIN = '''"""Unpack into memory-backed storage and run in this same process."""
+
+import os
+import sys
+import zipfile
+
+DIGEST = "{digest}"
+MEMORY = ("tmpfs", "ramfs")
+
+
+def folders():
+    """Yield folders to unpack into, the user's own choice first."""
+    chosen = os.environ.get("CATKINKNOT_UNPACK_DIR")
+    if chosen:
+        yield chosen
+        return
+    mounts = [line.split() for line in open("/proc/mounts")]
+    backed = {{row[1] for row in mounts if row[2] in MEMORY}}
+    for folder in (f"/run/user/{{os.getuid()}}", "/run", "/tmp", "/dev/shm"):
+        if folder in backed and os.access(folder, os.W_OK):
+            yield folder
+
+
+def unpack(archive):
+    """Unpack the archive once and return where."""
+    for folder in folders():
+        target = os.path.join(folder, f"catkinknot-{{os.getuid()}}-{{DIGEST}}")
+        if os.path.isdir(target):
+            if os.stat(target).st_uid != os.getuid():
+                continue
+            return target
+        part = f"{{target}}.{{os.getpid()}}"
+        os.mkdir(part, 0o700)
+        with zipfile.ZipFile(archive) as packed:
+            packed.extractall(part)
+        try:
+            os.rename(part, target)
+        except OSError:
+            # Another process of ours was faster; its copy is the same.
+            import shutil
+
+            shutil.rmtree(part)
+        return target
+    sys.exit("catkinknot: no memory-backed folder to unpack into; set CATKINKNOT_UNPACK_DIR")
+
+
+if __name__ == "__main__":
+    sys.dont_write_bytecode = True
+    sys.path[0] = unpack(sys.path[0])
+    from catkinknot.app import main
+
+    main()
+'''
+
+
+def main() -> None:
+    """Build the file named on the command line."""
+    target = ROOT / sys.argv[1]
+    target.parent.mkdir(parents=True, exist_ok=True)
+    with tempfile.TemporaryDirectory() as folder:
+        stage = Path(folder)
+        _copy_own(stage)
+        _copy_libraries(stage)
+        (stage / "__main__.py").write_text(_MAIN.format(digest=_digest(stage)))
+        zipapp.create_archive(stage, target, interpreter=_INTERPRETER, compressed=True)
+    target.chmod(0o755)
+    with zipfile.ZipFile(target) as packed:
+        print(f"{target}: {target.stat().st_size / 1e6:.1f} MB, {len(packed.namelist())} files")
+
+
+def _copy_own(stage: Path) -> None:
+    """Copy the workspace's libraries and the app."""
+    for source in [*ROOT.glob("libs/*/src"), ROOT / "app" / "src"]:
+        shutil.copytree(source, stage, dirs_exist_ok=True, ignore=_ignored)
+
+
+def _copy_libraries(stage: Path) -> None:
+    """Copy the libraries that the requirements name, with what they need."""
+    site = Path(sysconfig.get_path("platlib"))
+    for name in sorted(_closure()):
+        for file in metadata.files(name) or ():
+            source = Path(file.locate())
+            inside = site in source.parents and not _SKIPPED & set(file.parts)
+            if inside and source.is_file() and ".." not in file.parts:
+                copy = stage / file
+                copy.parent.mkdir(parents=True, exist_ok=True)
+                shutil.copy(source, copy)
+
+
+def _closure() -> set[str]:
+    """Return the libraries needed at run time."""
+    lines = (ROOT / "requirements.txt").read_text().split()
+    left, found = list(lines), set()
+    while left:
+        name = left.pop().lower().replace("_", "-")
+        if name in found:
+            continue
+        found.add(name)
+        for text in metadata.requires(name) or ():
+            requirement = Requirement(text)
+            if requirement.marker is None or requirement.marker.evaluate({"extra": ""}):
+                left.append(requirement.name)
+    return found
+
+
+def _digest(stage: Path) -> str:
+    """Hash all files, so that another version unpacks elsewhere."""
+    digest = hashlib.blake2b(digest_size=8)
+    for path in sorted(stage.rglob("*")):
+        if path.is_file():
+            digest.update(str(path.relative_to(stage)).encode() + path.read_bytes())
+    return digest.hexdigest()
+
+
+def _ignored(folder: str, names: list[str]) -> list[str]:
+    """Leave out what is not needed at run time."""
+    return [n for n in names if n in _SKIPPED or n.endswith(".egg-info")]
+
+
+if __name__ == "__main__":
+    os.chdir(ROOT)
+    main()
