Split the zone's session by what its parts do

Cause: one class of 1,100 lines held listing, starts, endings and the adoption of earlier holders' tasks. Change: the shared state, the endings and the strangers have modules of their own; behaviour is as before.

--- /dev/null
+++ b/app/src/catkinknot/app/_endings.py
@@ -0,0 +1,217 @@
+"""Bring each attempt of a job to its one end."""
+
+from catkinknot.backends import Ack, Stop
+from catkinknot.backends.exceptions import BackendError
+from catkinknot.journal import part_logger
+from catkinknot.model import JobId, Outcome, ResultCode, code_info
+from catkinknot.platformlog import JobEnded
+from catkinknot.scheduler import DropJob, Job
+
+from ._gangs import Gang
+from ._messages import ServerStatus
+from ._zone_state import ZoneState
+
+__all__ = ["Endings"]
+
+_ACK_DELAY_S = 2.0
+"""Let a server forget a task this long after its answer went out."""
+
+log = part_logger("scheduler")
+
+
+class Endings:
+    """Conclude attempts, answer who waits, and let servers forget."""
+
+    def __init__(self, zone: ZoneState) -> None:
+        """Keep the shared state.
+
+        Args:
+            zone: The state of the zone.
+        """
+        self._zone = zone
+
+    def stop_all(self, servers: list[str], lease: str, checkpoint: bool) -> None:
+        """Stop the members of a gang; lost servers are dealt with elsewhere."""
+        for server in servers:
+            try:
+                req = Stop(self._zone.tools.holder, self._zone.epoch, lease, checkpoint)
+                self._zone.tools.clients.find(server).stop(req)
+            except BackendError as exc:
+                log.debug("Stop on {} failed: {}.", server, exc.message)
+
+    def judge(self, job: Job, gang: Gang, now: float) -> None:
+        """Conclude an attempt once no member can be running."""
+        if not gang.over:
+            if gang.failure is not None and gang.active:
+                self._zone.tools.spawn(self.stop_all, gang.active, gang.lease, False)
+            return
+        self._zone.board.forget(gang)
+        self._zone.doubts.pop(job.job_id, None)
+        if gang.answer is not None:
+            self._conclude_done(job, gang, now)
+        elif gang.failure is not None:
+            self._conclude_failed(job, gang, now)
+        elif job.kind.idempotent and (gang.phase_on("lapsed") or gang.lost):
+            self._conclude_lost(job, gang, now)
+        elif not gang.began:
+            self._conclude_never_began(job, gang, now)
+        elif job.kind.idempotent or gang.checkpointed:
+            drop = self._zone.planner.stopped(
+                job.job_id, gang.attempt, now, progress_s=gang.progress_s
+            )
+            self._conclude_stopped(job, gang, drop)
+        else:
+            self._conclude_lost(job, gang, now)
+
+    def _conclude_never_began(self, job: Job, gang: Gang, now: float) -> None:
+        """Let a job wait again that none of its members worked on."""
+        self.ack_later(gang)
+        if job.cancelled:
+            self._zone.planner.drop(job.job_id, now)
+        else:
+            self._zone.planner.not_started(job.job_id, gang.attempt, now)
+        if not job.kind.idempotent:
+            self._zone.clear_attempt(job.job_id, gang.attempt, "no member began its work")
+        elif job.cancelled:
+            self.finish(job, ResultCode.CANCELLED, "cancelled before it began")
+
+    def _conclude_done(self, job: Job, gang: Gang, now: float) -> None:
+        """End a job with its result, or try again when the result is damaged."""
+        report = gang.answer
+        self._learn(gang, True, now)
+        if not report.result.whole:
+            self._zone.event(job.job_id, "result.damaged", attempt=gang.attempt)
+            if job.kind.idempotent:
+                self._zone.planner.not_started(job.job_id, gang.attempt, now)
+                self.ack_later(gang)
+                return
+        self._zone.planner.ended(job.job_id, gang.attempt, now)
+        code = ResultCode.DONE if report.result.whole else ResultCode.LOST
+        self.finish(job, code, "", gang=gang)
+
+    def _conclude_failed(self, job: Job, gang: Gang, now: float) -> None:
+        """End a failed job or let it wait for another attempt."""
+        server, report = gang.failure
+        self._learn(gang, False, now)
+        drop = self._zone.planner.failed(job.job_id, gang.attempt, server, now)
+        text = f"{server}: {report.message}"
+        self._zone.event(job.job_id, "job.failed", text, attempt=gang.attempt, server=server)
+        if drop is not None:
+            message = f"{drop.message}: {report.message}"
+            self.finish(job, drop.code, message, gang=gang)
+        else:
+            self.ack_later(gang)
+
+    def _conclude_lost(self, job: Job, gang: Gang, now: float) -> None:
+        """Try a lost job again, or say that it is lost."""
+        if job.kind.idempotent and not job.cancelled:
+            self._zone.planner.not_started(job.job_id, gang.attempt, now)
+            self.ack_later(gang)
+            return
+        self._zone.planner.drop(job.job_id, now)
+        code = ResultCode.STOPPED if job.cancelled else ResultCode.LOST
+        self.finish(job, code, "its servers were lost while it ran", gang=gang)
+
+    def _conclude_stopped(self, job: Job, gang: Gang, drop: DropJob | None) -> None:
+        """End a cancelled job; one stopped for others waits again."""
+        self._zone.event(job.job_id, "job.stopped", attempt=gang.attempt)
+        if drop is not None:
+            self.finish(job, drop.code, drop.message, gang=gang)
+            return
+        self.ack_later(gang)
+        if not job.kind.idempotent:
+            # The stop is proved, so the log may allow the next attempt.
+            self._zone.clear_attempt(
+                job.job_id, gang.attempt, "stopped at a checkpoint", began=True
+            )
+
+    def _learn(self, gang: Gang, ok: bool, now: float) -> None:
+        """Judge servers by the end of a gang."""
+        blamed = [gang.failure[0]] if not ok else list(gang.servers)
+        for server in blamed:
+            if self._zone.health.record(server, ok, gang.job, now):
+                self._zone.troubles.add(
+                    ServerStatus(
+                        server, "set aside", self._zone.tools.clock.wall(), "it fails many jobs"
+                    )
+                )
+                self._zone.set_off(server)
+                log.warning("Server {} is set aside, as it fails many jobs.", server)
+                self._zone.tools.ring.add(
+                    "backends", "server.set_aside", zone=self._zone.tools.zone, server=server
+                )
+
+    def forgotten(self, job: Job, server: str) -> None:
+        """Deal with a running job that its server no longer knows."""
+        lease = self._zone.leases[job.job_id]
+        servers = tuple(part.server for part in self._zone.planner.placement(job.job_id).slices)
+        now = self._zone.tools.clock.now()
+        gang = self._zone.board.find_or_add(lease, str(job.job_id), job.attempt, servers, now)
+        gang.lost.add(server)
+        if gang.over or job.kind.idempotent:
+            others = [name for name in gang.servers if name not in gang.lost]
+            self._zone.tools.spawn(self.stop_all, others, lease, False)
+            self._zone.board.forget(gang)
+            self._conclude_lost(job, gang, now)
+
+    def finish(self, job: Job, code: ResultCode, message: str, *, gang: Gang | None = None):
+        """Give a job its final answer."""
+        outcome = self.outcome(job.job_id, code, message, gang, attempt=job.attempt)
+        self._zone.event(
+            job.job_id, "job.ended", f"{int(code)} {code.name}", attempt=outcome.attempt
+        )
+        if job.kind.durable:
+            if gang is not None:
+                self._zone.unconfirmed[job.job_id] = gang
+            self._zone.tools.appender.append(JobEnded(outcome))
+            return
+        self._zone.leases.pop(job.job_id, None)
+        digest = "" if job.job_id in self._zone.stubs else job.request.digest
+        self._zone.stubs.discard(job.job_id)
+        if not code_info(code).retry:
+            self._zone.recent.keep(digest, outcome, self._zone.tools.clock.now())
+        self._zone.waiters.finish(outcome)
+        if gang is not None:
+            self.ack_later(gang)
+
+    def outcome(
+        self, job_id: JobId, code: ResultCode, message: str, gang: Gang | None, *, attempt: int
+    ) -> Outcome:
+        """Write the final answer of a job."""
+        done = gang is not None and gang.answer is not None and code is ResultCode.DONE
+        return Outcome(
+            workspace=job_id.workspace,
+            key=job_id.key,
+            code=code,
+            message=message,
+            attempt=attempt,
+            zone=self._zone.tools.zone if gang else "",
+            result=gang.answer.result if done else None,
+        )
+
+    def ack_later(self, gang: Gang) -> None:
+        """Let the servers of a gang forget it after a while."""
+        due_s = self._zone.tools.clock.now() + _ACK_DELAY_S
+        self._zone.acks += [(due_s, server, gang.lease) for server in gang.reports]
+
+    def due_acks(self, now: float) -> dict[str, list[str]]:
+        """Take the acknowledgements that are due, by server."""
+        due: dict[str, list[str]] = {}
+        left = []
+        for row in self._zone.acks:
+            due_s, server, lease = row
+            if due_s > now:
+                left.append(row)
+            else:
+                due.setdefault(server, []).append(lease)
+        self._zone.acks = left
+        return due
+
+    def send_acks(self, acks: dict[str, list[str]]) -> None:
+        """Let servers forget ended tasks; what fails is told again by a claim."""
+        for server, leases in acks.items():
+            try:
+                req = Ack(self._zone.tools.holder, self._zone.epoch, tuple(leases))
+                self._zone.tools.clients.find(server).ack(req)
+            except BackendError as exc:
+                log.debug("Server {} took no acknowledgement: {}.", server, exc.message)
--- /dev/null
+++ b/app/src/catkinknot/app/_strangers.py
@@ -0,0 +1,224 @@
+"""Deal with tasks that an earlier holder of the zone started."""
+
+from collections.abc import Callable
+
+from catkinknot.backends import RESERVE_TTL_S, RUN_TTL_S, Extend, TaskReport
+from catkinknot.backends.exceptions import BackendError
+from catkinknot.journal import part_logger
+from catkinknot.model import JobId, JobRequest, ResultCode
+from catkinknot.placement import Placement, Plan, Slice
+from catkinknot.scheduler import Job, JobState
+
+from ._endings import Endings
+from ._gangs import Gang
+from ._zone_state import ZoneState
+
+__all__ = ["Strangers"]
+
+log = part_logger("scheduler")
+
+
+class Strangers:
+    """Adopt, use or end tasks that are no current attempt here."""
+
+    def __init__(self, zone: ZoneState, endings: Endings, cancel: Callable[[JobId], None]) -> None:
+        """Keep the shared parts.
+
+        Args:
+            zone: The state of the zone.
+            endings: Concludes attempts.
+            cancel: Ends a job that its caller gave up.
+        """
+        self._zone = zone
+        self._endings = endings
+        self._cancel = cancel
+
+    def judge(self, gang: Gang, server: str, report: TaskReport, now: float) -> None:
+        """Deal with a task that is not the current attempt of a job here."""
+        workspace, _, key = gang.job.partition("/")
+        job_id = JobId(workspace, key)
+        if self._superseded(job_id, gang):
+            self._discard(gang, server)
+            return
+        if server in gang.active:
+            self._block(server, report)
+        else:
+            self.unblock(server, gang.lease)
+        if gang.complete:
+            self._adopt(job_id, gang, now)
+        elif gang.over:
+            self._take_old_end(job_id, gang, now)
+
+    def _superseded(self, job_id: JobId, gang: Gang) -> bool:
+        """Tell whether a start no longer matters."""
+        if self._zone.recent.find(job_id) is not None:
+            return True
+        with self._zone.tools.reader.state() as state:
+            durable = state.job(job_id)
+        if durable is not None and durable.outcome is not None:
+            return True
+        if durable is not None and not durable.idempotent:
+            if gang.attempt > durable.attempts:
+                # The log was not read far enough yet to judge this start.
+                return False
+            return durable.intent is None or durable.intent.attempt != gang.attempt
+        job = self._zone.planner.job(job_id)
+        return job is not None and job.state is not JobState.WAITING
+
+    def _discard(self, gang: Gang, server: str) -> None:
+        """Stop what runs of an attempt that no longer matters."""
+        if server in gang.active:
+            self._block(server, gang.reports[server])
+            self._zone.tools.spawn(self._endings.stop_all, [server], gang.lease, False)
+            return
+        self.unblock(server, gang.lease)
+        self._zone.acks.append((self._zone.tools.clock.now(), server, gang.lease))
+        if gang.over:
+            self._zone.board.forget(gang)
+
+    def _block(self, server: str, report: TaskReport) -> None:
+        """Keep the accelerators of a stranger's task."""
+        name = _block_name(server, report.lease)
+        fleet = self._zone.planner.fleet
+        if name in fleet.allocations:
+            return
+        place = Placement((Slice(server, report.mask),))
+        try:
+            fleet.take(name, "", Plan(place), stoppable=False)
+        except ValueError:
+            # The place is known to be in use already; the server itself
+            # refuses whatever would overlap.
+            return
+
+    def unblock(self, server: str, lease: str) -> None:
+        """Free the accelerators of a stranger's task."""
+        self._zone.planner.fleet.release(_block_name(server, lease))
+
+    def _adopt(self, job_id: JobId, gang: Gang, now: float) -> None:
+        """Go on with a gang that an earlier holder started."""
+        job = self._zone.planner.job(job_id) or self._doubted_job(job_id, gang.attempt)
+        if job is None:
+            job = self._stub(job_id, gang, now)
+        if job is None:
+            for server in list(gang.active):
+                self._discard(gang, server)
+            return
+        for server in gang.servers:
+            self.unblock(server, gang.lease)
+        job.attempt = gang.attempt
+        self._zone.leases[job_id] = gang.lease
+        self._zone.doubts.pop(job_id, None)
+        try:
+            self._zone.planner.adopt(job, gang.placement, now)
+        except ValueError:
+            log.error("Job {} overlaps another job and is stopped.", job_id)
+            self._zone.tools.spawn(self._endings.stop_all, list(gang.active), gang.lease, False)
+            return
+        self._zone.event(job_id, "job.adopted", attempt=gang.attempt)
+        if any(not report.confirmed for report in gang.reports.values()):
+            self._zone.tools.spawn(self.confirm, gang)
+        if job.cancelled:
+            job.cancelled = False
+            self._cancel(job_id)
+
+    def _doubted_job(self, job_id: JobId, attempt: int) -> Job | None:
+        """Return the job whose start was in doubt, or None."""
+        doubt = self._zone.doubts.get(job_id)
+        return doubt.job if doubt is not None and doubt.attempt == attempt else None
+
+    def _stub(self, job_id: JobId, gang: Gang, now: float) -> Job | None:
+        """Describe a job that only its servers know, until its caller asks again."""
+        report = next(iter(gang.reports.values()))
+        kind = self._zone.cfg.kind(report.kind)
+        if kind is None or not kind.idempotent or kind.durable:
+            return None
+        request = JobRequest(
+            workspace=job_id.workspace,
+            kind=kind.name,
+            key=job_id.key,
+            accelerators=gang.placement.accelerators,
+        )
+        self._zone.stubs.add(job_id)
+        return Job(request, kind, now)
+
+    def _take_old_end(self, job_id: JobId, gang: Gang, now: float) -> None:
+        """Use the end of a gang that an earlier holder started."""
+        for server in gang.servers:
+            self.unblock(server, gang.lease)
+        job = self._zone.planner.job(job_id) or self._doubted_job(job_id, gang.attempt)
+        if job is None:
+            self._keep_old_answer(job_id, gang, now)
+            return
+        if not job.kind.idempotent and job_id not in self._zone.doubts:
+            # The log will soon show the start that this is the end of.
+            return
+        self._zone.board.forget(gang)
+        self._zone.doubts.pop(job_id, None)
+        if gang.answer is not None and gang.answer.result.whole:
+            self._zone.planner.drop(job_id, now)
+            self._endings.finish(job, ResultCode.DONE, "", gang=gang)
+        elif job.kind.idempotent:
+            self._endings.ack_later(gang)
+        elif not gang.began:
+            self._zone.clear_attempt(job_id, gang.attempt, "no member began its work")
+            self._zone.planner.submit(job, now, must_take=True)
+            self._endings.ack_later(gang)
+        elif gang.checkpointed and not job.cancelled:
+            job.progress_s = max(job.progress_s, gang.progress_s)
+            self._zone.clear_attempt(job_id, gang.attempt, "stopped at a checkpoint", began=True)
+            self._zone.planner.submit(job, now, must_take=True)
+            self._endings.ack_later(gang)
+        else:
+            code = ResultCode.JOB_FAILED if gang.failure else ResultCode.LOST
+            message = gang.failure[1].message if gang.failure else "it was interrupted"
+            self._endings.finish(job, code, message, gang=gang)
+
+    def _keep_old_answer(self, job_id: JobId, gang: Gang, now: float) -> None:
+        """Keep an answer whose caller may still ask for it."""
+        report = next(iter(gang.reports.values()))
+        kind = self._zone.cfg.kind(report.kind)
+        if kind is not None and kind.durable:
+            # Only the log says what this belongs to, once it is read.
+            return
+        self._zone.board.forget(gang)
+        if gang.answer is not None and gang.answer.result.whole and kind is not None:
+            outcome = self._endings.outcome(job_id, ResultCode.DONE, "", gang, attempt=gang.attempt)
+            self._zone.recent.keep("", outcome, now)
+            self._zone.waiters.finish(outcome)
+        self._endings.ack_later(gang)
+
+    def settle(self, now: float) -> None:
+        """Judge gangs of earlier holders anew, and end those that never got complete."""
+        for gang in self._zone.board.gangs():
+            workspace, _, key = gang.job.partition("/")
+            job_id = JobId(workspace, key)
+            if self._zone.leases.get(job_id) == gang.lease or now < gang.first_s + RESERVE_TTL_S:
+                continue
+            gang.first_s = now
+            if gang.active and not gang.complete:
+                self._zone.tools.spawn(self._endings.stop_all, gang.active, gang.lease, False)
+            # A server that is held and has not reported a member has none.
+            gang.lost |= {
+                s for s in gang.servers if s in self._zone.claimed and s not in gang.reports
+            }
+            if self._superseded(job_id, gang):
+                for server in list(gang.reports):
+                    self._discard(gang, server)
+            elif gang.complete:
+                self._adopt(job_id, gang, now)
+            elif gang.over:
+                self._take_old_end(job_id, gang, now)
+
+    def confirm(self, gang: Gang) -> None:
+        """Let the members of an adopted gang run on."""
+        for server in gang.servers:
+            try:
+                req = Extend(self._zone.tools.holder, self._zone.epoch, (gang.lease,), RUN_TTL_S)
+                self._zone.tools.clients.find(server).extend(req)
+            except BackendError as exc:
+                log.warning("Server {} did not extend a task: {}.", server, exc.message)
+
+
+def _block_name(server: str, lease: str) -> str:
+    """Name the allocation of a stranger's task."""
+    return f"!{lease}@{server}"
--- /dev/null
+++ b/app/src/catkinknot/app/_zone_state.py
@@ -0,0 +1,90 @@
+"""Hold what the parts of one zone's session share."""
+
+import threading
+from dataclasses import dataclass, field
+
+from catkinknot.backends import Epoch, ServerHealth, ServerWatch
+from catkinknot.model import Configuration, JobId
+from catkinknot.platformlog import AttemptCleared
+from catkinknot.scheduler import Planner
+
+from ._doubts import Doubt
+from ._gangs import Gang, GangBoard
+from ._servers import Troubles
+from ._tools import Tools
+from ._waiters import RecentOutcomes, Waiters
+
+__all__ = ["ZoneState"]
+
+
+@dataclass
+class ZoneState:
+    """Hold the state of a zone under one epoch; its lock guards all of it.
+
+    Attributes:
+        tools: The shared parts of the process.
+        epoch: The epoch under which this instance holds the zone.
+        cfg: The configuration in force.
+        planner: Decides.
+        lock: Guards everything here.
+        closed: Whether the epoch is over for this instance.
+        board: What servers report of gangs.
+        waiters: Who waits for a job.
+        recent: Answers given lately.
+        health: Judges servers by their failures.
+        troubles: Servers that are not in full use.
+        doubts: Starts whose outcome is not known.
+        stubs: Jobs that only their servers know.
+        leases: The lease of the present start of each job.
+        starting: Jobs and attempts whose start is under way.
+        watches: One for each server.
+        boots: The present run of each server.
+        claimed: Servers that are held.
+        acks: When to acknowledge which lease to which server.
+        unconfirmed: Gangs whose end is not on the log yet.
+    """
+
+    tools: Tools
+    epoch: Epoch
+    cfg: Configuration
+    planner: Planner
+    lock: threading.RLock = field(default_factory=threading.RLock)
+    closed: bool = False
+    board: GangBoard = field(default_factory=GangBoard)
+    waiters: Waiters = field(default_factory=Waiters)
+    recent: RecentOutcomes = field(default_factory=RecentOutcomes)
+    health: ServerHealth = field(default_factory=ServerHealth)
+    troubles: Troubles = field(default_factory=Troubles)
+    doubts: dict[JobId, Doubt] = field(default_factory=dict)
+    stubs: set[JobId] = field(default_factory=set)
+    leases: dict[JobId, str] = field(default_factory=dict)
+    starting: set[tuple[JobId, int]] = field(default_factory=set)
+    watches: dict[str, ServerWatch] = field(default_factory=dict)
+    boots: dict[str, str] = field(default_factory=dict)
+    claimed: set[str] = field(default_factory=set)
+    acks: list[tuple[float, str, str]] = field(default_factory=list)
+    unconfirmed: dict[JobId, Gang] = field(default_factory=dict)
+
+    def set_off(self, server: str) -> None:
+        """Allow or forbid new work on a server by what is known of it."""
+        off = server not in self.claimed or self.troubles.any(server)
+        self.planner.fleet.set_off(server, off)
+
+    def clear_attempt(
+        self, job_id: JobId, attempt: int, reason: str, *, began: bool = False
+    ) -> None:
+        """Record that an attempt is not running, so that another may follow."""
+        record = AttemptCleared(job_id, attempt, self.epoch.term, reason, began)
+        self.tools.appender.append(record)
+
+    def event(self, job_id: JobId, name: str, text: str = "", **cause) -> None:
+        """Add an event of a job to the time line."""
+        self.tools.ring.add(
+            "scheduler",
+            name,
+            text,
+            job=str(job_id),
+            zone=self.tools.zone,
+            epoch=str(self.epoch),
+            **cause,
+        )
