Bound what a holder spends on polls and what peers say

Cause: an idle holder of 12 servers spent 5.5 % of a core, as each server was polled every second; heartbeats across zones grew with every instance. Ruled out: the planner's tick (unchanged with the number of servers). Change: idle polls get longer with the number of servers, so that their sum stays about six a second, and leases with them; heartbeats across zones go out every 8 s, changes at once, and ZMQ's pings notice broken connections.

--- a/app/src/catkinknot/app/_compose.py
+++ b/app/src/catkinknot/app/_compose.py
@@ -144,6 +144,8 @@
             window = ServiceWindow(clock=outside.clock)
             duties = Duties(tools, outside.listing, view, keeper, office, node)
             office.on_changed(duties.announce)
+            tools.book.listen(lambda _: duties.announce())
+            node.on_broken(view.forget_far)
             status = StatusDesk(tools, view, office, node, window, duties)
             peer_desk.status = status
             instance = Instance(
--- a/app/src/catkinknot/app/_session.py
+++ b/app/src/catkinknot/app/_session.py
@@ -5,7 +5,6 @@
 from dataclasses import dataclass
 
 from catkinknot.backends import (
-    LEASE_TTL_S,
     RESERVE_TTL_S,
     RUN_TTL_S,
     Epoch,
@@ -15,6 +14,8 @@
     TaskReport,
     WatchListener,
     lease_name,
+    lease_ttl_s,
+    poll_pace_s,
 )
 from catkinknot.journal import part_logger
 from catkinknot.membership import ListedInstance
@@ -363,6 +364,10 @@
         self.resolve_doubts()
         return not self._zone.closed
 
+    def _pace_s(self) -> float:
+        """Return how long a server should hold an idle poll open."""
+        return poll_pace_s(len(self._zone.watches))
+
     def _settling(self, now: float) -> bool:
         """Tell whether servers of the zone are still being claimed."""
         return now < self._began_s + _SETTLE_S and len(self._zone.claimed) < len(self._zone.watches)
@@ -644,6 +649,7 @@
                 self._zone.epoch,
                 self,
                 run_ttl_s=RUN_TTL_S,
+                pace=self._pace_s,
                 clock=self._zone.tools.clock,
             )
             self._zone.watches[listed.name] = watch
@@ -667,7 +673,7 @@
             self._zone.tools.clients.find,
             holder=self._zone.tools.holder,
             epoch=self._zone.epoch,
-            ttl_s=LEASE_TTL_S,
+            ttl_s=lease_ttl_s(self._pace_s()),
             now=self._zone.tools.clock.now(),
         )
         job_id = doubt.job.job_id
--- a/libs/backends/src/catkinknot/backends/__init__.py
+++ b/libs/backends/src/catkinknot/backends/__init__.py
@@ -28,10 +28,9 @@
     TaskReport,
     Throttle,
 )
-from ._watch import LEASE_TTL_S, ServerWatch, WatchListener
+from ._watch import ServerWatch, WatchListener, lease_ttl_s, poll_pace_s
 
 __all__ = [
-    "LEASE_TTL_S",
     "RESERVE_TTL_S",
     "RUN_TTL_S",
     "Ack",
@@ -63,4 +62,6 @@
     "WatchListener",
     "WindowRule",
     "lease_name",
+    "lease_ttl_s",
+    "poll_pace_s",
 ]
--- a/libs/backends/src/catkinknot/backends/_watch.py
+++ b/libs/backends/src/catkinknot/backends/_watch.py
@@ -1,6 +1,7 @@
 """Hold the lease on one backend server and listen for its news."""
 
 import threading
+from collections.abc import Callable
 
 from catkinknot.model import Clock, SystemClock
 
@@ -8,20 +9,49 @@
 from ._protocol import Claim, Epoch, Poll, ServerState, TaskReport
 from .exceptions import BackendError, BackendRefusedError
 
-__all__ = ["ServerWatch", "WatchListener"]
+__all__ = ["ServerWatch", "WatchListener", "lease_ttl_s", "poll_pace_s"]
 
-LEASE_TTL_S = 4.0
-"""A holder's lease on a server lapses after this."""
+SHORTEST_POLL_S = 1.0
+_LONGEST_POLL_S = 15.0
+_POLLS_PER_S = 6.0
+"""A holder polls all its idle servers about this often in sum."""
 
-_POLL_S = 1.0
-"""Ask the server to hold a poll open for this long while nothing happens."""
+_LEASE_POLLS = 3
+_LEASE_MARGIN_S = 1.0
 
 _SAFETY_S = 0.5
 """Treat a lease as lapsed this much before the server does."""
 
 _RETRY_S = 0.3
 _LOST_AFTER_S = 3.0
-"""Call a server lost when it has not answered for this long."""
+"""Call a server lost when requests to it have failed for this long."""
+
+
+def poll_pace_s(servers: int) -> float:
+    """Return how long each of some servers should hold an idle poll open.
+
+    The more servers a holder has, the longer each holds its polls, so that the
+    holder's own cost stays the same. News ends a poll at once.
+
+    Args:
+        servers: How many servers the holder has.
+
+    Returns:
+        Seconds.
+    """
+    return min(max(servers / _POLLS_PER_S, SHORTEST_POLL_S), _LONGEST_POLL_S)
+
+
+def lease_ttl_s(poll_s: float) -> float:
+    """Return how long a lease lasts that polls of some length renew.
+
+    Args:
+        poll_s: How long an idle poll is held open.
+
+    Returns:
+        Seconds.
+    """
+    return _LEASE_POLLS * poll_s + _LEASE_MARGIN_S
 
 
 class WatchListener:
@@ -54,6 +84,7 @@
         listener: WatchListener,
         *,
         run_ttl_s: float,
+        pace: Callable[[], float] = lambda: SHORTEST_POLL_S,
         clock: Clock | None = None,
     ) -> None:
         """Prepare to hold a server.
@@ -64,6 +95,7 @@
             epoch: Its epoch.
             listener: Who gets the news.
             run_ttl_s: Seconds that tasks may run on after each poll.
+            pace: Returns how long an idle poll is held open.
             clock: Where time comes from.
         """
         self._client = client
@@ -71,13 +103,14 @@
         self._epoch = epoch
         self._listener = listener
         self._run_ttl_s = run_ttl_s
+        self._pace = pace
         self._clock = clock or SystemClock()
         self._lock = threading.Lock()
         self._closed = False
         self._held = False
         self._lost = False
         self._valid_until_s = 0.0
-        self._answered_s = self._clock.now()
+        self._failing_since_s: float | None = None
         self._newest = 0
         self._boot = ""
 
@@ -138,10 +171,11 @@
 
     def _claim(self, asked_s: float) -> None:
         """Ask for the lease and report what the server holds."""
-        state = self._client.claim(Claim(self._holder, self._epoch, LEASE_TTL_S))
+        ttl_s = lease_ttl_s(self._pace())
+        state = self._client.claim(Claim(self._holder, self._epoch, ttl_s))
         self._newest = state.newest
         self._boot = state.boot
-        self._renewed(asked_s)
+        self._renewed(asked_s, ttl_s)
         with self._lock:
             self._held = True
         if not self._closed:
@@ -149,15 +183,10 @@
 
     def _poll(self, asked_s: float) -> None:
         """Renew the lease and report what has changed."""
+        poll_s = self._pace()
+        ttl_s = lease_ttl_s(poll_s)
         reply = self._client.poll(
-            Poll(
-                self._holder,
-                self._epoch,
-                LEASE_TTL_S,
-                self._newest,
-                _POLL_S,
-                self._run_ttl_s,
-            )
+            Poll(self._holder, self._epoch, ttl_s, self._newest, poll_s, self._run_ttl_s)
         )
         if reply.boot != self._boot:
             # The server was replaced, and somebody else's claim under this
@@ -165,17 +194,17 @@
             with self._lock:
                 self._held = False
             return
-        self._renewed(asked_s)
+        self._renewed(asked_s, ttl_s)
         for report in reply.tasks:
             self._listener.task_changed(self.server, report)
         self._newest = reply.newest
 
-    def _renewed(self, asked_s: float) -> None:
+    def _renewed(self, asked_s: float, ttl_s: float) -> None:
         """Count the lease from the moment when it was asked for."""
         with self._lock:
             if not self._closed:
-                self._valid_until_s = asked_s + LEASE_TTL_S - _SAFETY_S
-            self._answered_s = self._clock.now()
+                self._valid_until_s = asked_s + ttl_s - _SAFETY_S
+            self._failing_since_s = None
             was_lost, self._lost = self._lost, False
         if was_lost:
             self._listener.back(self.server)
@@ -198,8 +227,11 @@
 
     def _silent(self, reason: str) -> None:
         """Handle a request that got no answer."""
-        silent_s = self._clock.now() - self._answered_s
+        now = self._clock.now()
         with self._lock:
+            if self._failing_since_s is None:
+                self._failing_since_s = now
+            silent_s = now - self._failing_since_s
             newly = not self._lost and silent_s >= _LOST_AFTER_S
             self._lost = self._lost or newly
             if self._lost:
--- a/libs/membership/src/catkinknot/membership/_view.py
+++ b/libs/membership/src/catkinknot/membership/_view.py
@@ -14,8 +14,12 @@
 IN_ZONE_PERIOD_S = 0.5
 """Instances of one zone send each other a heartbeat this often."""
 
-CROSS_ZONE_PERIOD_S = 2.0
-"""Instances of different zones send each other a heartbeat this often."""
+CROSS_ZONE_PERIOD_S = 8.0
+"""Instances of different zones send each other a heartbeat this often.
+
+Changes are announced at once, and a broken connection is noticed by itself,
+so these only confirm what is known.
+"""
 
 _MISSED = 4
 """An instance that missed this many heartbeats is not reachable."""
@@ -120,6 +124,20 @@
                 return
             self._heartbeats[heartbeat.instance] = (self._clock.now(), heartbeat)
 
+    def forget_far(self, name: str) -> None:
+        """Call an instance of another zone unreachable until it is heard again.
+
+        Instances of this zone are judged by their heartbeats alone, as a take-
+        over must not follow from one broken connection.
+
+        Args:
+            name: The instance whose connection broke.
+        """
+        with self._lock:
+            listed = self._listed.get(name)
+            if listed is not None and listed.zone != self._zone:
+                self._heartbeats.pop(name, None)
+
     def list_age_s(self) -> float | None:
         """Return seconds since the list was last read, None if it never was."""
         with self._lock:
--- a/libs/peers/src/catkinknot/peers/_link.py
+++ b/libs/peers/src/catkinknot/peers/_link.py
@@ -1,6 +1,7 @@
 """Talk to one other instance with one thread."""
 
 import threading
+from collections.abc import Callable
 from concurrent.futures import Future
 from dataclasses import dataclass, field
 from typing import Any
@@ -19,6 +20,8 @@
 _POLL_MS = 250
 _HIGH_WATER = 1000
 MAX_MESSAGE_BYTES = 32 * 2**20
+_PING_MS = 2000
+_PING_TIMEOUT_MS = 6000
 _RECONNECT_MS = 100
 _RECONNECT_MAX_MS = 1000
 
@@ -52,6 +55,7 @@
         keys: PeerKeys | None = None,
         stamp: Any = None,
         clock: Clock | None = None,
+        broken: Callable[[str], None] = lambda peer: None,
     ) -> None:
         """Start the thread that owns the connection.
 
@@ -64,7 +68,9 @@
             keys: The deployment's keys.
             stamp: Supplies and takes logical times.
             clock: Where time comes from.
+            broken: Called with the peer when the connection breaks.
         """
+        self._broken = broken
         self.peer = peer
         self.address = address
         self._sender = sender
@@ -124,6 +130,7 @@
                 if monitor in ready:
                     monitor.recv_multipart()
                     self._give_up_all("the connection broke")
+                    self._broken(self.peer)
                 self._give_up_late()
         finally:
             sock.disable_monitor()
@@ -141,6 +148,8 @@
         sock.rcvhwm = _HIGH_WATER
         sock.maxmsgsize = MAX_MESSAGE_BYTES
         sock.immediate = True
+        sock.heartbeat_ivl = _PING_MS
+        sock.heartbeat_timeout = _PING_TIMEOUT_MS
         sock.reconnect_ivl = _RECONNECT_MS
         sock.reconnect_ivl_max = _RECONNECT_MAX_MS
         if self._keys is not None:
--- a/libs/peers/src/catkinknot/peers/_node.py
+++ b/libs/peers/src/catkinknot/peers/_node.py
@@ -67,6 +67,7 @@
         self._outbox: Outbox[tuple[bytes, int, Any]] = Outbox()
         self._pool = ThreadPoolExecutor(_HANDLERS, thread_name_prefix="peer-handler")
         self._closed = False
+        self._broken: Callable[[str], None] = lambda peer: None
         self.bad_messages = 0
         self.sent_bytes = 0
         self.received_bytes = 0
@@ -74,6 +75,10 @@
         self._thread = threading.Thread(target=self._run, name="peer-router", daemon=True)
         self._thread.start()
 
+    def on_broken(self, broken: Callable[[str], None]) -> None:
+        """Say whom to tell when the connection to a peer breaks."""
+        self._broken = broken
+
     def connect(self, peer: str, address: str) -> None:
         """Keep a link to a peer, replacing one to another address.
 
@@ -94,6 +99,7 @@
                 keys=self._keys,
                 stamp=self._stamp,
                 clock=self._clock,
+                broken=lambda name: self._broken(name),
             )
         if old is not None:
             old.close()
--- a/tools/stage.py
+++ b/tools/stage.py
@@ -1,5 +1,6 @@
 """Start a whole deployment of plain processes on loopback, and stop it."""
 
+import itertools
 import json
 import os
 import signal
@@ -18,6 +19,8 @@
 IP = "127.0.0.1"
 _START_S = 30.0
 _STOP_S = 20.0
+_PORTS = itertools.cycle(range(20_000 + os.getpid() % 100 * 120, 32_000))
+"""Ports to try, beginning elsewhere in each process."""
 
 
 @dataclass(frozen=True)
@@ -217,12 +220,18 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports on which nothing listens now."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for sock in sockets:
-            sock.bind((IP, 0))
-        return [sock.getsockname()[1] for sock in sockets]
-    finally:
-        for sock in sockets:
-            sock.close()
+    """Return ports on which nothing listens now.
+
+    They lie below the range from which the kernel takes ports for outgoing
+    connections, so that none is taken before its process listens.
+    """
+    found: list[int] = []
+    while len(found) < count:
+        port = next(_PORTS)
+        with socket.socket() as sock:
+            try:
+                sock.bind((IP, port))
+            except OSError:
+                continue
+        found.append(port)
+    return found
