Let no fault in one step end the steps to come

Cause: reading the threads' loops showed that an unforeseen error would end the thread that decides, the log's appender or the reader, and the zone would be held and not served; an odd answer of the log service was such an error. Change: repeated steps and listeners are guarded and logged; odd answers of the log count as an outage whose effect is not known. The stand-in's second copy of the listed instance is gone. Measured: the new tests fail without the change and pass with it for the odd answers; the guard of repeated steps has its own test.

--- a/app/src/catkinknot/app/_compose.py
+++ b/app/src/catkinknot/app/_compose.py
@@ -1,6 +1,7 @@
 """Wire the parts of one instance together."""
 
 import threading
+import time
 import uuid
 from collections.abc import Callable, Iterator
 from concurrent.futures import ThreadPoolExecutor
@@ -38,6 +39,7 @@
 
 _WORKERS = 24
 _CLOSE_APPENDS_S = 5.0
+_AFTER_FAULT_S = 0.5
 
 log = part_logger("main")
 
@@ -218,9 +220,15 @@
     """Repeat a step on a thread of its own until it says False."""
 
     def repeat() -> None:
-        """Do step after step."""
-        while step():
-            pass
+        """Do step after step, whatever one of them raises."""
+        going = True
+        while going:
+            try:
+                going = step()
+            except Exception:
+                # A zone whose thread has died would be held and not served.
+                log.exception("A step of {} failed.", name)
+                time.sleep(_AFTER_FAULT_S)
 
     threading.Thread(target=repeat, name=name, daemon=True).start()
 
@@ -234,8 +242,12 @@
         """Take one record of the log."""
         if item.entry.writer == tools.holder:
             tools.appender.seen(item.entry.seq, item.verdict)
-        _note_record(tools, item)
-        office.log_applied(item)
+        try:
+            _note_record(tools, item)
+            office.log_applied(item)
+        except Exception:
+            # The reader must go on; what this record meant is in the state.
+            log.exception("Record {} on the log was not acted on.", item.entry.offset)
 
     tools.reader.listen(applied)
     threading.Thread(
--- a/app/tests/test_instance.py
+++ b/app/tests/test_instance.py
@@ -11,6 +11,7 @@
 import urllib3
 
 from catkinknot.app import Outside, build_server, open_instance
+from catkinknot.app._compose import _launch
 from catkinknot.membership import ListedInstance
 from catkinknot.model import Address, KeyFiles, ResultCode, Settings
 from catkinknot.platformlog import NewEntry
@@ -240,3 +241,24 @@
         }
         for path, word in pages.items():
             self.assertIn(word, self.http.request("GET", self.base + path).data)
+
+
+class TestFaultsInside(unittest.TestCase):
+    """Check that a fault inside one step does not end the steps to come."""
+
+    def test_a_repeated_step_survives_what_it_raises(self):
+        """After a step has raised, the next one is still done."""
+        done = threading.Event()
+        outcomes = iter((KeyError("boom"), True, False))
+
+        def step() -> bool:
+            """Raise first, then go on, then end."""
+            outcome = next(outcomes)
+            if isinstance(outcome, Exception):
+                raise outcome
+            if not outcome:
+                done.set()
+            return outcome
+
+        _launch("test", step)
+        self.assertTrue(done.wait(10.0))
--- a/libs/peers/src/catkinknot/peers/_node.py
+++ b/libs/peers/src/catkinknot/peers/_node.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 import zmq
+from loguru import logger
 
 from catkinknot.model import Clock, ResultCode, check_json, to_json
 from catkinknot.model.exceptions import BadInputError, UnreachableError
@@ -225,7 +226,11 @@
             if header.number and not self._closed:
                 self._outbox.put((identity, header.number, answer))
 
-        self._handler(header.sender, message, reply)
+        try:
+            self._handler(header.sender, message, reply)
+        except Exception:
+            # The sender learns of it by the missing answer.
+            logger.exception("A message of peer {} could not be handled.", header.sender)
 
 
 @contextmanager
--- a/libs/platformlog/src/catkinknot/platformlog/_client.py
+++ b/libs/platformlog/src/catkinknot/platformlog/_client.py
@@ -93,7 +93,10 @@
         """
         records = [{"writer": e.writer, "seq": e.seq, "data": e.data} for e in batch]
         answer = self._ask("POST", "/v1/append", _APPEND_TIMEOUT_S, body={"records": records})
-        return int(answer["first_offset"])
+        try:
+            return int(answer["first_offset"])
+        except (KeyError, TypeError, ValueError):
+            raise LogUnavailableError("the log service gave no offset", sent=True) from None
 
     def read(self, start: int, *, limit: int, wait_s: float) -> Page:
         """Read entries from an offset on.
@@ -113,11 +116,14 @@
         """
         path = f"/v1/read?from={start}&limit={limit}&wait_ms={int(wait_s * 1000)}"
         answer = self._ask("GET", path, wait_s + _READ_MARGIN_S)
-        entries = tuple(
-            Entry(row["offset"], row["at_s"], row["writer"], row["seq"], row["data"])
-            for row in answer["records"]
-        )
-        return Page(entries, int(answer["first_offset"]), int(answer["next_offset"]))
+        try:
+            entries = tuple(
+                Entry(row["offset"], row["at_s"], row["writer"], row["seq"], row["data"])
+                for row in answer["records"]
+            )
+            return Page(entries, int(answer["first_offset"]), int(answer["next_offset"]))
+        except (KeyError, TypeError, ValueError):
+            raise LogUnavailableError("the log service gave no page", sent=True) from None
 
     def _ask(self, method: str, path: str, timeout_s: float, *, body: dict | None = None) -> dict:
         """Send one request.
--- /dev/null
+++ b/libs/platformlog/tests/test_client.py
@@ -0,0 +1,67 @@
+"""Check the client of the log service against answers of every kind."""
+
+import threading
+import unittest
+
+from catkinknot.model import Address
+from catkinknot.platformlog import HttpLogClient, NewEntry
+from catkinknot.platformlog.exceptions import LogUnavailableError, OffsetExpiredError
+from catkinknot_standins import LogStore, Reply, log_app, serve_json
+
+
+def append(client: HttpLogClient) -> int:
+    """Append something."""
+    return client.append([NewEntry("w", 1, "data")])
+
+
+def read(client: HttpLogClient) -> object:
+    """Read something."""
+    return client.read(0, limit=1, wait_s=0.0)
+
+
+class TestHttpLogClient(unittest.TestCase):
+    """Check over a real socket."""
+
+    def serve(self, handle) -> HttpLogClient:
+        """Serve a handler and return a client of it."""
+        server = serve_json("127.0.0.1", 0, handle)
+        server.prepare()
+        thread = threading.Thread(target=server.serve, daemon=True)
+        thread.start()
+        self.addCleanup(thread.join)
+        self.addCleanup(server.stop)
+        return HttpLogClient((Address("127.0.0.1", server.bind_addr[1]),))
+
+    def test_round_trip(self):
+        """What is appended can be read back, and old offsets are said to be gone."""
+        client = self.serve(log_app(LogStore(retention_records=2)))
+        for seq in range(3):
+            self.assertEqual(client.append([NewEntry("w", seq, "data")]), seq)
+        with self.assertRaises(OffsetExpiredError) as caught:
+            client.read(0, limit=10, wait_s=0.0)
+        self.assertEqual(caught.exception.first_offset, 1)
+        page = client.read(1, limit=10, wait_s=0.0)
+        self.assertEqual([entry.seq for entry in page.entries], [1, 2])
+
+    def test_bad_answers(self):
+        """Each bad answer is an outage whose effect is not known, not a crash."""
+        for reply in (
+            Reply(200, b"no json"),
+            Reply(200, b"[]"),
+            Reply(200, b"{}"),
+            Reply(200, b'{"first_offset": "x", "records": [{}], "next_offset": 1}'),
+            Reply(503, b"{}"),
+        ):
+            with self.subTest(reply.body):
+                client = self.serve(lambda req, reply=reply: reply)
+                for call in (append, read):
+                    with self.assertRaises(LogUnavailableError) as caught:
+                        call(client)
+                    self.assertTrue(caught.exception.sent)
+
+    def test_nobody_listens(self):
+        """A refused connection is known to have had no effect."""
+        client = HttpLogClient((Address("127.0.0.1", 1),))
+        with self.assertRaises(LogUnavailableError) as caught:
+            client.append([NewEntry("w", 1, "data")])
+        self.assertFalse(caught.exception.sent)
--- a/standins/src/catkinknot_standins/__init__.py
+++ b/standins/src/catkinknot_standins/__init__.py
@@ -4,14 +4,13 @@
 from ._backend_server import BackendServer
 from ._faults import Faults
 from ._http import Reply, Request, serve_json
-from ._instance_list import InstanceList, ListedInstance
+from ._instance_list import InstanceList
 from ._log_store import LogStore
 
 __all__ = [
     "BackendServer",
     "Faults",
     "InstanceList",
-    "ListedInstance",
     "LogStore",
     "Reply",
     "Request",
--- a/standins/src/catkinknot_standins/_apps.py
+++ b/standins/src/catkinknot_standins/_apps.py
@@ -16,6 +16,7 @@
     Throttle,
 )
 from catkinknot.backends.exceptions import BackendRefusedError, BackendUnreachableError
+from catkinknot.membership import ListedInstance
 from catkinknot.model import ResultCode, check_json, to_json, to_python
 from catkinknot.model.exceptions import BadInputError
 from catkinknot.platformlog import NewEntry
@@ -24,7 +25,7 @@
 from ._backend_server import BackendServer
 from ._faults import Faults
 from ._http import Reply, Request
-from ._instance_list import InstanceList, ListedInstance
+from ._instance_list import InstanceList
 from ._log_store import LogStore
 
 __all__ = ["backend_app", "list_app", "log_app"]
--- a/standins/src/catkinknot_standins/_instance_list.py
+++ b/standins/src/catkinknot_standins/_instance_list.py
@@ -3,40 +3,12 @@
 import threading
 from collections import deque
 
-from pydantic.dataclasses import dataclass
-
+from catkinknot.membership import ListedInstance
 from catkinknot.model import Clock, SystemClock
 
 from ._faults import Faults
 
-__all__ = ["InstanceList", "ListedInstance"]
-
-
-@dataclass(frozen=True)
-class ListedInstance:
-    """Describe one instance as the platform lists it.
-
-    Attributes:
-        name: Its name.
-        role: Whether it is an entry instance or a backend server.
-        zone: Its availability zone.
-        ip: Its IP number.
-        port: Its HTTP port.
-        peer_port: The port for other instances, 0 on a backend server.
-        state: Whether it is live or leaving.
-        rack: A backend server's rack.
-        accelerators: A backend server's accelerators.
-    """
-
-    name: str
-    role: str
-    zone: str
-    ip: str
-    port: int
-    peer_port: int = 0
-    state: str = "live"
-    rack: int = 0
-    accelerators: int = 0
+__all__ = ["InstanceList"]
 
 
 class InstanceList:
