Prove that a configuration reaches an instance cut off from the log

Cause: the way over peers was only built, not shown with processes. Change: a process test with an instance that cannot reach the log; it puts two versions in force and serves a proof.

--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -93,6 +93,24 @@
 
         self.run_through(pause)
 
+    def test_configuration_reaches_an_instance_cut_off_from_the_log(self):
+        """Peers pass on each newer configuration, and its holder serves by it."""
+        cut = self.stage.start_node("cut", "y", cut_from_log=True)
+        self.stage.wait_ready(cut)
+        changed = {**CONFIG, "queue_limit": 77}
+        path = "/v1/config?base_version=1"
+        version = self.stage.post(self.nodes[0].http, path, changed)["version"]
+        for _ in range(200):
+            present = self.stage.get(cut.http, "/v1/config")
+            if present["version"] == version:
+                break
+            threading.Event().wait(0.1)
+        self.assertEqual(present["version"], version)
+        self.assertEqual(present["config"]["queue_limit"], 77)
+        request = {"workspace": "w", "kind": "proof", "key": "through-cut"}
+        answer = self.stage.post(cut.http, "/v1/jobs?wait_s=20", request)
+        self.assertEqual(answer["code"], 1000)
+
     def test_holder_is_stopped_gracefully(self):
         """A planned stop cuts no request short and exits with 0."""
         codes = []
--- a/tools/stage.py
+++ b/tools/stage.py
@@ -93,8 +93,17 @@
         self._start(f"backends-{zone}", command)
         self.wait_port(port)
 
-    def start_node(self, name: str, zone: str, *, program: list[str] | None = None) -> Node:
-        """Start an entry instance and list it."""
+    def start_node(self, name: str, zone: str, *, cut_from_log: bool = False) -> Node:
+        """Start an entry instance and list it.
+
+        Args:
+            name: Its name.
+            zone: Its availability zone.
+            cut_from_log: Whether it looks for the log where nothing listens.
+
+        Returns:
+            The instance.
+        """
         node = self.nodes.get(name) or Node(name, zone, *free_ports(2))
         self.nodes[name] = node
         settings = {
@@ -102,13 +111,13 @@
             "zone": zone,
             "http": {"ip": IP, "port": node.http},
             "peer": {"ip": IP, "port": node.peer},
-            "log": [{"ip": IP, "port": self.log_port}],
+            "log": [{"ip": IP, "port": free_ports(1)[0] if cut_from_log else self.log_port}],
             "instance_list": {"ip": IP, "port": self.list_port},
         }
         path = self.folder / f"{name}.json"
         path.write_text(json.dumps(settings))
-        program = program or [sys.executable, "-m", "catkinknot.app"]
-        self._start(name, [*program, "serve", "--settings", str(path)])
+        command = [sys.executable, "-m", "catkinknot.app", "serve", "--settings", str(path)]
+        self._start(name, command)
         self.list_instance(
             name=name, role="entry", zone=zone, ip=IP, port=node.http, peer_port=node.peer
         )
