Pack whole servers by how many racks are alike

Cause: a placement at 2,600 servers took 152 ms, as the search for whole servers sorted all racks for every guaranteed group; the page named doubtful outcomes where the silent log was the reason, and new instances were shown as unheard for up to 8 s. Ruled out: the listing of cells (linear in the profile). Change: the search keeps only how many racks have so many whole servers left; work that needs a silent log is put down to it; newcomers are told at once.

--- a/app/src/catkinknot/app/_duties.py
+++ b/app/src/catkinknot/app/_duties.py
@@ -68,6 +68,8 @@
         self._sent = 0
         self._vacant_since_s: dict[str, float] = {}
         self._heard: set[str] = set()
+        self._known: set[str] = set()
+        self._newcomers: set[str] = set()
 
     def start(self) -> None:
         """Start the threads."""
@@ -122,6 +124,11 @@
             wanted.add(peer.listed.name)
             address = f"{peer.listed.ip}:{peer.listed.peer_port}"
             self._node.connect(peer.listed.name, address)
+        if self._newcomers:
+            # Their links were opened a round ago, so they can hear now.
+            self.announce()
+        self._newcomers = wanted - self._known
+        self._known = wanted
         for name in set(self._node.peers()) - wanted:
             self._node.disconnect(name)
         self._office.refresh()
--- a/app/src/catkinknot/app/_status.py
+++ b/app/src/catkinknot/app/_status.py
@@ -28,6 +28,8 @@
 __all__ = ["ServiceStatus", "StatusDesk", "TimeLine", "ZoneStatus"]
 
 _ASK_S = 1.5
+_LOG_SILENT_S = 8.0
+"""A log that has not answered for this long counts as out."""
 
 
 @dataclass(frozen=True)
@@ -203,12 +205,14 @@
                 by_lane.setdefault((lane.workspace, lane.kind), []).append(lane)
         if config is None:
             return []
+        silent = all(not 0 <= item.log_silent_s <= _LOG_SILENT_S for item in instances)
         return [
             judge_lane(
                 workspace.name,
                 kind.name,
                 by_lane.get((workspace.name, kind.name), ()),
                 deadline_s=kind.deadline_s,
+                needs_silent_log=kind.durable and silent,
             )
             for workspace in config.workspaces
             for kind in config.kinds
--- a/libs/journal/src/catkinknot/journal/_verdict.py
+++ b/libs/journal/src/catkinknot/journal/_verdict.py
@@ -173,7 +173,12 @@
 
 
 def judge_lane(
-    workspace: str, kind: str, counts: Iterable[LaneCounts], *, deadline_s: float
+    workspace: str,
+    kind: str,
+    counts: Iterable[LaneCounts],
+    *,
+    deadline_s: float,
+    needs_silent_log: bool = False,
 ) -> LaneVerdict:
     """Judge one kind of work of one workspace.
 
@@ -182,6 +187,8 @@
         kind: The kind of work.
         counts: What each instance knows of it.
         deadline_s: Seconds after which an answer is of no use.
+        needs_silent_log: Whether the work needs the platform's log and no
+            instance gets an answer from it.
 
     Returns:
         The answer with its reason.
@@ -203,6 +210,8 @@
     if total == 0:
         return LaneVerdict(workspace, kind, "idle", 0.0, "nobody asked for it lately", "Nothing.")
     part = good / total
+    if needs_silent_log:
+        bad = {int(ResultCode.LOG_UNAVAILABLE): total}
     why, what_to_do = _reason(bad, late, part)
     if part >= _UP_PART:
         return LaneVerdict(workspace, kind, "up", 0.0, "callers get their results", "Nothing.")
--- a/libs/journal/tests/test_journal.py
+++ b/libs/journal/tests/test_journal.py
@@ -75,6 +75,13 @@
                 self.assertIn(word, verdict.why)
                 self.assertTrue(verdict.what_to_do)
 
+    def test_a_silent_log_is_named_as_the_reason(self):
+        """Doubtful outcomes of lasting work are put down to the log when it is out."""
+        counts = [LaneCounts("w", "k", bad={5000: 3})]
+        verdict = judge_lane("w", "k", counts, deadline_s=9.0, needs_silent_log=True)
+        self.assertEqual(verdict.state, "down")
+        self.assertIn("log does not answer", verdict.why)
+
     def test_window_forgets_and_dates_trouble(self):
         """Old answers no longer count; trouble has a beginning and an end."""
         clock = SteppedClock(100.0)
--- a/libs/placement/src/catkinknot/placement/_pack.py
+++ b/libs/placement/src/catkinknot/placement/_pack.py
@@ -92,6 +92,7 @@
         else:
             inside.append((servers, shape))
     if _search(racks, [servers for servers, _ in inside]):
+        _take_any(racks, sum(servers for servers, _ in inside))
         return missing
     for servers, shape in inside:
         if not _take_rack(racks, servers):
@@ -99,6 +100,14 @@
     return missing
 
 
+def _take_any(racks: dict[int, int], servers: int) -> None:
+    """Take whole servers from any racks, as only their number matters now."""
+    for rack, whole in racks.items():
+        taken = min(whole, servers)
+        racks[rack] -= taken
+        servers -= taken
+
+
 def _take_window(racks: dict[int, int], servers: int, rack_size: int) -> bool:
     """Take whole servers from the first run of neighbouring racks with enough.
 
@@ -141,28 +150,28 @@
 
 
 def _search(racks: dict[int, int], sizes: list[int]) -> bool:
-    """Pack groups of whole servers into racks, trying every way if need be.
+    """Tell whether groups of whole servers fit into racks, trying every way.
+
+    Racks with as many whole servers are alike, so only their numbers are kept.
 
     Args:
-        racks: Whole servers of each rack; changed only on success.
+        racks: Whole servers of each rack.
         sizes: Servers of each group, largest first.
 
     Returns:
-        Whether all were packed within the bound on steps.
+        Whether all fit, as far as the bound on steps allows to tell.
     """
-    left = dict(racks)
-    steps = [_SEARCH_STEPS]
-    if not _place_next(left, sizes, 0, steps):
-        return False
-    racks.update(left)
-    return True
+    alike = [0] * (max(racks.values(), default=0) + 1)
+    for whole in racks.values():
+        alike[whole] += 1
+    return _place_next(alike, sizes, 0, [_SEARCH_STEPS])
 
 
-def _place_next(left: dict[int, int], sizes: list[int], at: int, steps: list[int]) -> bool:
-    """Place one group and all after it.
+def _place_next(alike: list[int], sizes: list[int], at: int, steps: list[int]) -> bool:
+    """Place one group and all after it, in the tightest racks first.
 
     Args:
-        left: Whole servers left in each rack.
+        alike: How many racks have so many whole servers left.
         sizes: Servers of each group, largest first.
         at: The group to place.
         steps: How many tries are left, in its only item.
@@ -172,19 +181,18 @@
     """
     if at == len(sizes):
         return True
-    tried = set()
-    for rack in sorted(left, key=lambda rack: left[rack]):
-        whole = left[rack]
-        if whole < sizes[at] or whole in tried:
+    for whole in range(sizes[at], len(alike)):
+        if alike[whole] == 0:
             continue
         steps[0] -= 1
         if steps[0] < 0:
             return False
-        tried.add(whole)
-        left[rack] -= sizes[at]
-        if _place_next(left, sizes, at + 1, steps):
+        alike[whole] -= 1
+        alike[whole - sizes[at]] += 1
+        if _place_next(alike, sizes, at + 1, steps):
             return True
-        left[rack] += sizes[at]
+        alike[whole] += 1
+        alike[whole - sizes[at]] -= 1
     return False
 
 
--- a/libs/scheduler/src/catkinknot/scheduler/_planner.py
+++ b/libs/scheduler/src/catkinknot/scheduler/_planner.py
@@ -106,6 +106,11 @@
         self.accounts.configure(cfg, self._zone)
         self._recheck = True
 
+    @property
+    def configuration(self) -> Configuration:
+        """The configuration in force."""
+        return self._cfg
+
     @property
     def waiting(self) -> int:
         """How many jobs wait."""
