--- a/measure/__main__.py
+++ b/measure/__main__.py
@@ -10,6 +10,7 @@
 from ._report import HEAD, Report
 from ._speed import measure_speed
 from ._system import measure_system
+from ._timeline import measure_time_line
 
 ROOT = Path(__file__).resolve().parent.parent
 SECTIONS = {
@@ -17,6 +18,7 @@
     "speed": measure_speed,
     "decisions": measure_decisions,
     "blame": measure_blame,
+    "timeline": measure_time_line,
 }
 
 
@@ -28,8 +30,8 @@
     print(HEAD)
     for name in chosen:
         SECTIONS[name](report)
+    report.save(ROOT / "build" / "measures.json")
     if chosen == list(SECTIONS):
-        report.save(ROOT / "build" / "measures.json")
         draw(report, ROOT / "docs" / "measures")
     missed = [measure.name for measure in report.measures if measure.met is False]
     took_s = time.monotonic() - began
--- a/measure/_report.py
+++ b/measure/_report.py
@@ -53,10 +53,12 @@
         return next(m.ours for m in self.measures if m.name == name)
 
     def save(self, path: Path) -> None:
-        """Write all measures as JSON."""
+        """Write all measures as JSON, in place of earlier ones of the same names."""
         path.parent.mkdir(parents=True, exist_ok=True)
-        rows = [{**asdict(m), "ratio": m.ratio} for m in self.measures]
-        path.write_text(json.dumps(rows, indent=1) + "\n")
+        earlier = json.loads(path.read_text()) if path.exists() else []
+        rows = {row["name"]: row for row in earlier}
+        rows |= {m.name: {**asdict(m), "ratio": m.ratio} for m in self.measures}
+        path.write_text(json.dumps(list(rows.values()), indent=1) + "\n")
 
 
 def _row(measure: Measure) -> str:
