Record the measures and work the capacity out from them

Change: the page of measures, its pictures and the table of capacity; the measure of reclaiming mixed up the keys of two streams and is mended; retries of failed jobs are jittered; a cancelled start that never began is no longer said to be surely not run, as an earlier one may have.

--- a/app/src/catkinknot/app/_endings.py
+++ b/app/src/catkinknot/app/_endings.py
@@ -73,7 +73,8 @@
         if not job.kind.idempotent:
             self._zone.clear_attempt(job.job_id, gang.attempt, "no member began its work")
         elif job.cancelled:
-            self.finish(job, ResultCode.CANCELLED, "cancelled before it began")
+            # An earlier start, here or elsewhere, may have run.
+            self.finish(job, ResultCode.STOPPED, "cancelled while it was starting")
 
     def _conclude_done(self, job: Job, gang: Gang, now: float) -> None:
         """End a job with its result, or try again when the result is damaged."""
--- a/libs/scheduler/src/catkinknot/scheduler/_planner.py
+++ b/libs/scheduler/src/catkinknot/scheduler/_planner.py
@@ -1,10 +1,11 @@
 """Decide which job of one zone starts, stops or is dropped next."""
 
 import heapq
+import random
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 
-from catkinknot.admission import CallerLimiter, JobQueue, RunTimeEstimator
+from catkinknot.admission import Backoff, CallerLimiter, JobQueue, RunTimeEstimator
 from catkinknot.model import Configuration, JobId, ResultCode
 from catkinknot.model.exceptions import RefusedError
 from catkinknot.placement import Fleet, Placement, Plan
@@ -41,7 +42,8 @@
 _MAX_FAILED_SERVERS = 3
 """A job that failed on this many servers, or on all there are, can never run."""
 
-_RETRY_PAUSE_S = 0.5
+_FIRST_RETRY_S = 0.5
+_LONGEST_RETRY_S = 8.0
 
 
 @dataclass(frozen=True)
@@ -85,6 +87,9 @@
         self.accounts = Accounts()
         self._queue = JobQueue()
         self._limiter = CallerLimiter()
+        self._backoff = Backoff(
+            first_s=_FIRST_RETRY_S, longest_s=_LONGEST_RETRY_S, rng=random.Random(zone)
+        )
         self._jobs: dict[JobId, Job] = {}
         self._named: dict[str, Job] = {}
         self._held: dict[JobId, Job] = {}
@@ -269,7 +274,7 @@
         if len(job.failed_on) >= enough or job.attempt > 2 * _MAX_FAILED_SERVERS:
             reason = f"failed on {len(job.failed_on)} servers"
             return self._drop(job, ResultCode.JOB_CANNOT_RUN, reason, now)
-        self._wait_again(job, now, pause_s=_RETRY_PAUSE_S * job.attempt)
+        self._wait_again(job, now, pause_s=self._backoff.pause_s(len(job.failed_on)))
         return None
 
     def not_started(self, job_id: JobId, attempt: int, now: float, *, pause_s: float = 0.0) -> None:
--- a/measure/__main__.py
+++ b/measure/__main__.py
@@ -7,6 +7,7 @@
 from ._blame import measure_blame
 from ._decisions import measure_decisions
 from ._plots import draw
+from ._poll import measure_poll
 from ._report import HEAD, Report
 from ._speed import measure_speed
 from ._system import measure_system
@@ -19,6 +20,7 @@
     "decisions": measure_decisions,
     "blame": measure_blame,
     "timeline": measure_time_line,
+    "poll": measure_poll,
 }
 
 
--- a/measure/_decisions.py
+++ b/measure/_decisions.py
@@ -266,10 +266,12 @@
                 continue
             kind = "plate" if shape.accelerators > 4 else "colour-check"
             owner = Stream(workspace.name, kind, 40.0, (shape.accelerators,), 20, since_s=60.0)
-            drawn = arrivals([borrowers], seed=SEED, until_s=200.0)
-            first = arrivals([owner], seed=SEED, until_s=400.0)[:1]
-            run = run_zone(cfg, "vejle-hal", [*drawn, *first], 500.0)
-            worst = max(worst, run.jobs[first[0].request.job_id].wait_s)
+            drawn = arrivals([borrowers, owner], seed=SEED, until_s=400.0)
+            owned = [arrival for arrival in drawn if arrival.at_s >= owner.since_s]
+            first = owned[0]
+            kept = [arrival for arrival in drawn if arrival not in owned[1:]]
+            run = run_zone(cfg, "vejle-hal", kept, 500.0)
+            worst = max(worst, run.jobs[first.request.job_id].wait_s or 500.0)
     limit_s = CHECKPOINT_S + _URGENT_TARGET_S
     report.add(
         "reclaim of a guaranteed shape, everything borrowed, worst",
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -72,6 +72,7 @@
     core = {size: found[f"idle control, {size}: most of a core"] for size in (small, middle, large)}
     per_poll = core[middle] / 6.0
     polls = SERVERS / POLLS_CAP_S
+    poll_bytes = found["one idle poll with its headers"]
     traffic = {s: found[f"idle control, {s}: most peer traffic"] for s in (small, middle)}
     per_peer = (traffic[middle] - traffic[small]) / 4
     far = traffic[middle] + per_peer * (INSTANCES - 8)
@@ -87,8 +88,8 @@
             f"{found['one placement at 163 servers, p99']:.1f} ms", "5 ms", "measured at 163"),
         Row("zone scheduler", "memory", f"{memory + per_server * (SERVERS - 12):.0f} MB", "128 MB",
             f"{memory:.0f} MB and {per_server:.3f} MB a server"),
-        Row("zone scheduler", "poll traffic", f"{polls * 1.1:.1f} KB/s", "6 KB/s",
-            "about 1.1 KB for a poll with its headers"),
+        Row("zone scheduler", "poll traffic", f"{polls * poll_bytes / 1000:.1f} KB/s",
+            "6 KB/s", f"{poll_bytes:.0f} bytes for a poll with its headers"),
         Row("peer", "heartbeats", f"{far:.1f} KB/s", "6 KB/s",
             f"{per_peer:.2f} KB/s for each further instance, 32 instances"),
         Row("entry", "added to a proof, median",
--- a/tools/write_measures.py
+++ b/tools/write_measures.py
@@ -16,7 +16,7 @@
     lines = [
         "# Measures",
         "",
-        "Figures of one run of `make measure` on one machine with 8 cores; the",
+        "Figures of `make measure`, or of its sections, on one machine with 8 cores; the",
         "baseline (first come, first served and first fit, or the direct call) ran",
         "beside it. Starts take 0.03 s and a checkpoint 2 s in the zone runs. Pictures:",
         "[urgent starts](urgent-start.png), [large gangs](large-gangs.png),",
