Log each answer with the job and the caller bound

Cause: with the HTTP library's own lines silenced, no log line told of a request. Change: one line for each answer, with job, caller and kind bound to it.

--- a/app/src/catkinknot/app/_desk.py
+++ b/app/src/catkinknot/app/_desk.py
@@ -106,6 +106,8 @@
         self._tools.metrics.requests.inc(labels)
         self._tools.metrics.request_seconds.observe({"kind": kind.name}, took_s)
         self._event(request.job_id, "request.answered", outcome.code.name)
+        bound = log.bind(job=str(request.job_id), caller=request.caller, kind=kind.name)
+        bound.info("Answered {} {} after {:.3f} s.", int(outcome.code), outcome.code.name, took_s)
         return outcome
 
     def result(self, job_id: JobId, wait_s: float) -> Outcome:
