Drop a method nobody calls and a wrapper around one call

Cause: reading the whole change once more showed a public method of the fleet without a caller, a method that only compared another's result with None, and a docstring that named one of three reasons for an announcement. Change: the two are gone, the docstring says what holds; behaviour is as before. Measured: lint and the tests of placement, scheduler, instance and command line pass as before.

--- a/app/src/catkinknot/app/_desk.py
+++ b/app/src/catkinknot/app/_desk.py
@@ -202,7 +202,7 @@
     def _durable_zone(self, capacity: ZoneCapacity, request: JobRequest, kind: Kind) -> str:
         """Choose the first zone that somebody schedules, else the first."""
         order = zone_order(capacity, request, kind)
-        return next((zone for zone in order if self._scheduled(zone)), order[0])
+        return next((zone for zone in order if self._holder(zone)), order[0])
 
     def _append_job(self, job_id: JobId, record: JobAccepted) -> Outcome | None:
         """Append a job to the log.
@@ -368,10 +368,6 @@
             return _outcome(job_id, ResultCode.NOT_REACHABLE, message)
         return None
 
-    def _scheduled(self, zone: str) -> bool:
-        """Tell whether somebody who can be reached schedules a zone."""
-        return self._holder(zone) is not None
-
     def _not_reached(self, job_id: JobId) -> Outcome:
         """Say that a zone's scheduler was asked and did not answer."""
         return _outcome(job_id, ResultCode.NOT_REACHABLE, "the zone's scheduler did not answer")
--- a/app/src/catkinknot/app/_duties.py
+++ b/app/src/catkinknot/app/_duties.py
@@ -108,7 +108,7 @@
         self._tell_peers(heartbeat, far_too=self._sent % every == 0 or self._leaving)
 
     def announce(self) -> None:
-        """Tell all peers at once that the zone was won or lost."""
+        """Tell all peers at once that something they rely on has changed."""
         self._sent += 1
         self._tell_peers(self._heartbeat(), far_too=True)
 
--- a/libs/placement/src/catkinknot/placement/_fleet.py
+++ b/libs/placement/src/catkinknot/placement/_fleet.py
@@ -556,10 +556,6 @@
         ]
         return self._cheapest(plans, cost, keep)
 
-    def keeps_guarantees(self, placement: Placement) -> bool:
-        """Tell whether a borrower that can't be stopped may go to a place."""
-        return self._keeps_guarantees(placement)
-
     def _largest_server(self) -> int:
         """Return the accelerators of the largest server."""
         return max((server.slot.size for server in self._order), default=0)
