--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV ?= .venv
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.ready
-SOURCES := $(wildcard libs/*/pyproject.toml) app/pyproject.toml standins/pyproject.toml
+SOURCES := $(wildcard libs/*/pyproject.toml) app/pyproject.toml platform/pyproject.toml standins/pyproject.toml
 
 .PHONY: run test lint format measure binary clean
 
--- /dev/null
+++ b/app/src/catkinknot/node/_node.py
@@ -0,0 +1,274 @@
+"""Wire one instance on the users' platform."""
+
+import signal
+import threading
+from collections.abc import Callable
+from contextlib import ExitStack, contextmanager
+
+from loguru import logger
+
+from catkinknot.coordination import JOBS, LEAD_KEY, Claim, Desk, Election, Leader, Record, Tail
+from catkinknot.jobs import Configuration, JobBook
+from catkinknot.journal import open_json_logs
+from catkinknot.model import SystemClock
+from catkinknot.model.exceptions import BadInputError
+from catkinknot.platform import (
+    CONFIG_KEY,
+    CONFIG_TOPIC,
+    Endpoint,
+    Ingress,
+    PlatformListing,
+    PlatformServers,
+    PlatformSettings,
+    PlatformStore,
+    decode_config,
+    load_settings,
+    metrics_page,
+    open_server,
+    readiness,
+    settings_path,
+)
+
+from ._counts import NodeCounts
+
+__all__ = ["Node", "run_node"]
+
+JOBS_WAIT_S = 0.9
+"""How long a read of the ledger waits for a record."""
+
+CONFIG_WAIT_S = 0.6
+"""The same for the operator's topic; bounds how long a silent connection hides a change."""
+
+FOLLOW_PAUSE_S = 0.02
+"""Pause between reads of the ledger, to take several records at once."""
+
+CALLER_THREADS = 20
+IDLE_S = 15.0
+DRAIN_S = 1.5
+STOP_MARGIN_S = 2.5
+"""Time before the kill at which the doors close."""
+
+
+class ConfigHolder:
+    """Hold the newest configuration that was seen, and never go back."""
+
+    def __init__(self) -> None:
+        """Begin with none."""
+        self._log = logger.bind(part="config")
+        self.current: Configuration | None = None
+
+    def get(self) -> Configuration | None:
+        """Return the configuration in force."""
+        return self.current
+
+    def take_snapshot(self, records: dict[str, bytes]) -> None:
+        """Take the newest record of each key of the operator's topic."""
+        if CONFIG_KEY in records:
+            self.take_records((Record(CONFIG_KEY, records[CONFIG_KEY]),))
+
+    def take_records(self, records: tuple[Record, ...]) -> None:
+        """Take records of the operator's topic."""
+        for record in records:
+            if record.key == CONFIG_KEY and record.value:
+                self._take(record.value)
+
+    def _take(self, raw: bytes) -> None:
+        """Put a configuration in force unless it is older."""
+        try:
+            cfg = decode_config(raw)
+        except BadInputError as exc:
+            self._log.bind(code=int(exc.code), reason=exc.message[:300]).error(
+                "A configuration can't be read."
+            )
+            return
+        if self.current is not None and cfg.version <= self.current.version:
+            return
+        self._log.bind(version=cfg.version, queues=len(cfg.queues)).info(
+            "A configuration is in force."
+        )
+        self.current = cfg
+
+
+class Node:
+    """Hold the parts of one instance."""
+
+    def __init__(self, settings: PlatformSettings) -> None:
+        """Wire the parts; nothing runs yet.
+
+        Args:
+            settings: What the platform says.
+        """
+        self.settings = settings
+        self.clock = SystemClock()
+        self.stopping = threading.Event()
+        self.counts = NodeCounts()
+        self.config = ConfigHolder()
+        self.store = PlatformStore(settings.store.host, settings.store.port)
+        self.servers = PlatformServers()
+        self.listing = PlatformListing(self.store)
+        self.book = JobBook()
+        self.jobs_tail = Tail(
+            self.store,
+            JOBS,
+            clock=self.clock,
+            on_snapshot=self._take_snapshot,
+            on_records=self._take_records,
+            wait_s=JOBS_WAIT_S,
+            pause_s=FOLLOW_PAUSE_S,
+        )
+        self.config_tail = Tail(
+            self.store,
+            CONFIG_TOPIC,
+            clock=self.clock,
+            on_snapshot=self.config.take_snapshot,
+            on_records=self.config.take_records,
+            wait_s=CONFIG_WAIT_S,
+        )
+        self.election = Election(
+            settings.instance,
+            store=self.store,
+            tail=self.jobs_tail,
+            clock=self.clock,
+            make_leader=self._make_leader,
+        )
+        self.desk = Desk(
+            store=self.store,
+            tail=self.jobs_tail,
+            book=self.book,
+            config=self.config.get,
+            clock=self.clock,
+        )
+        self.ingress = Ingress(
+            self.desk,
+            clock=self.clock,
+            config=self.config.get,
+            observe=self.counts.observe_call,
+            closing=self.stopping.is_set,
+        )
+
+    def ready(self) -> bool:
+        """Tell whether callers should come here."""
+        return self.config.current is not None and not self.stopping.is_set()
+
+    def _make_leader(self, claim: Claim) -> Leader:
+        """Wire a leader for a claim."""
+        return Leader(
+            claim,
+            instance=self.settings.instance,
+            store=self.store,
+            book=self.book,
+            listing=self.listing,
+            calls=self.servers,
+            config=self.config.get,
+            clock=self.clock,
+        )
+
+    def _take_snapshot(self, records: dict[str, bytes]) -> None:
+        """Take the newest record of each key of the ledger."""
+        self.book.replace(records)
+        if LEAD_KEY in records:
+            self.election.on_mark(records[LEAD_KEY])
+        leader = self.election.leading
+        if leader is not None:
+            leader.take_changes(entry.job.id for entry in self.book.entries())
+
+    def _take_records(self, records: tuple[Record, ...]) -> None:
+        """Take records of the ledger as they come."""
+        changed = []
+        for record in records:
+            if record.key == LEAD_KEY:
+                self.election.on_mark(record.value)
+                continue
+            job_id = self.book.apply(record.key, record.value)
+            if job_id is not None:
+                changed.append(job_id)
+        leader = self.election.leading
+        if leader is not None and changed:
+            leader.take_changes(dict.fromkeys(changed))
+
+
+@contextmanager
+def _threads(parts: dict[str, Callable[[threading.Event], None]]):
+    """Run parts on threads of their own until the context closes."""
+    stopped = threading.Event()
+    threads = [
+        threading.Thread(target=part, args=(stopped,), name=name, daemon=True)
+        for name, part in parts.items()
+    ]
+    for thread in threads:
+        thread.start()
+    try:
+        yield stopped
+    finally:
+        stopped.set()
+
+
+def run_node() -> int:
+    """Run one instance until it is told to stop.
+
+    Returns:
+        The exit status: 0 after a graceful stop, 2 for settings that can't be read.
+    """
+    path = settings_path()
+    try:
+        settings = load_settings(path)
+    except BadInputError as exc:
+        logger.bind(code=int(exc.code)).error(exc.message)
+        return 2
+    with open_json_logs(settings.instance):
+        _serve(Node(settings), path)
+    return 0
+
+
+def _serve(node: Node, path) -> None:
+    """Serve until the platform says stop."""
+    log = logger.bind(part="main")
+    told = threading.Event()
+    signal.signal(signal.SIGTERM, lambda *_: told.set())
+    signal.signal(signal.SIGINT, lambda *_: told.set())
+    signal.signal(signal.SIGHUP, lambda *_: _reload(path))
+    settings = node.settings
+    metrics_at = Endpoint(settings.ip, settings.metrics_port)
+    drained_s = max(0.5, settings.grace_s - STOP_MARGIN_S)
+    with ExitStack() as stack:
+        stack.enter_context(
+            _threads(
+                {
+                    "jobs-tail": node.jobs_tail.follow,
+                    "config-tail": node.config_tail.follow,
+                    "election": node.election.run,
+                }
+            )
+        )
+        stack.enter_context(
+            open_server(
+                node.ingress,
+                settings.callers,
+                threads=CALLER_THREADS,
+                idle_s=IDLE_S,
+                drain_s=DRAIN_S,
+            )
+        )
+        for app, at in (
+            (readiness(node.ready), settings.readiness),
+            (metrics_page(node.counts.text), metrics_at),
+        ):
+            stack.enter_context(open_server(app, at, threads=1, idle_s=IDLE_S, drain_s=0.2))
+        log.bind(zone=settings.zone, callers=str(settings.callers)).info("The instance is up.")
+        while not told.wait(0.5):
+            pass
+        log.info("The instance is told to stop.")
+        node.stopping.set()
+        node.clock.sleep(drained_s)
+    log.info("The instance has stopped.")
+
+
+def _reload(path) -> None:
+    """Read the settings again; addresses change only with a new process."""
+    log = logger.bind(part="main")
+    try:
+        load_settings(path)
+    except BadInputError as exc:
+        log.bind(code=int(exc.code), reason=exc.message).error("The settings can't be read.")
+        return
+    log.info("The settings were read again.")
--- /dev/null
+++ b/libs/coordination/src/catkinknot/coordination/__init__.py
@@ -0,0 +1,49 @@
+"""Lead servers and answer callers over one shared store."""
+
+from ._desk import Answer, Desk, Verdict
+from ._election import Election
+from ._leader import Claim, Leader
+from ._recorder import LEAD_KEY
+from ._servers import (
+    EndRow,
+    HoldAnswer,
+    Listing,
+    OrderOutcome,
+    OrderReply,
+    RunRow,
+    ServerCalls,
+    ServerListing,
+    StartOrder,
+    StopOrder,
+)
+from ._store import JOBS, PEERS, RUNS, Batch, Fence, Record, Snapshot, Store
+from ._tail import Tail
+
+__all__ = [
+    "JOBS",
+    "LEAD_KEY",
+    "PEERS",
+    "RUNS",
+    "Answer",
+    "Batch",
+    "Claim",
+    "Desk",
+    "Election",
+    "EndRow",
+    "Fence",
+    "HoldAnswer",
+    "Leader",
+    "Listing",
+    "OrderOutcome",
+    "OrderReply",
+    "Record",
+    "RunRow",
+    "ServerCalls",
+    "ServerListing",
+    "Snapshot",
+    "StartOrder",
+    "StopOrder",
+    "Store",
+    "Tail",
+    "Verdict",
+]
--- /dev/null
+++ b/libs/coordination/src/catkinknot/coordination/_board.py
@@ -0,0 +1,450 @@
+"""Hold what the leader knows, and change it as facts arrive."""
+
+import threading
+from collections.abc import Callable, Iterable
+
+from loguru import logger
+
+from catkinknot.jobs import (
+    PHASE_SUFFIX,
+    Ended,
+    JobEntry,
+    JobPhase,
+    Resources,
+    StepKey,
+    StepState,
+    TaskPhase,
+    TaskState,
+    read_step_key,
+    write_step,
+)
+from catkinknot.model import Clock
+from catkinknot.packing import Occupant, Room
+
+from ._recorder import Recorder
+from ._servers import EndRow, HoldAnswer, Listing, OrderOutcome, RunRow
+from ._store import JOBS, RUNS
+from ._views import CLOCK_DRIFT, JobView, RunView, ServerView
+
+__all__ = ["Board"]
+
+ACCELERATOR_CORES = 8
+"""Cores that an accelerator counts as when work is weighed."""
+
+FAILING_JOBS = 2
+"""Different jobs that fail in a row before a server is set aside."""
+
+SET_ASIDE_S = 6.0
+"""How long a server that fails many jobs gets no new work."""
+
+
+class Board:
+    """Know all jobs, servers and runs; every method takes the lock itself.
+
+    Attributes:
+        lock: Held while anything here is read or changed.
+        jobs: Jobs by identity.
+        servers: Servers by lifetime.
+        changed: Set when there may be something to decide.
+    """
+
+    def __init__(
+        self,
+        recorder: Recorder,
+        *,
+        clock: Clock,
+        stop_run: Callable[[ServerView, RunView, str], None],
+        fence_s: float,
+        inherited_s: float,
+    ) -> None:
+        """Begin with nothing known.
+
+        Args:
+            recorder: Writes what must last.
+            clock: Where time comes from.
+            stop_run: Sends the order to stop a run, with a reason.
+            fence_s: When earlier leaders were fenced.
+            inherited_s: For how long after that their leases may last.
+        """
+        self._recorder = recorder
+        self._clock = clock
+        self._stop_run = stop_run
+        self._inherited_end_s = fence_s + inherited_s * CLOCK_DRIFT
+        self._log = logger.bind(part="board")
+        self.lock = threading.RLock()
+        self.changed = threading.Event()
+        self.jobs: dict[str, JobView] = {}
+        self.servers: dict[str, ServerView] = {}
+
+    # Jobs
+
+    def take_entry(self, entry: JobEntry, recorded: dict[StepKey, list[TaskState]]) -> None:
+        """Take a job from the ledger.
+
+        Args:
+            entry: What the ledger says of it.
+            recorded: The tasks of its steps as an earlier leader wrote them.
+        """
+        with self.lock:
+            view = self.jobs.get(entry.job.id)
+            if view is None:
+                view = JobView(entry.job, entry.phase)
+                self.jobs[entry.job.id] = view
+                for key, tasks in recorded.items():
+                    self._adopt(view, key, tasks)
+            if entry.cancelled and not view.phase.final:
+                self._finish(view, JobPhase.CANCELLED, "its caller cancelled it")
+            elif view.phase.final and recorded:
+                self._stop_leftovers(view)
+            self.changed.set()
+
+    def forget_job(self, job_id: str) -> None:
+        """Drop a job that the ledger has dropped."""
+        with self.lock:
+            self.jobs.pop(job_id, None)
+
+    def _adopt(self, view: JobView, key: StepKey, tasks: list[TaskState]) -> None:
+        """Take over a step with the runs that an earlier leader recorded."""
+        state = StepState(key, view.job.steps[key.step], view.job, tasks)
+        view.steps[key] = state
+        for i in state.assigned():
+            task = tasks[i]
+            server = self._server_of(task.server)
+            run = RunView(key.task(i), key, i, task.run, self._clock.now(), settled_s=float("-inf"))
+            run.checkpoint = task.checkpoint
+            server.admit(run, self._occupant(state, i))
+            server.ends_s = max(server.ends_s, self._inherited_end_s)
+
+    def _server_of(self, life: str) -> ServerView:
+        """Return a server, also one that only the ledger names."""
+        if life not in self.servers:
+            room = Room(life, "", "", frozenset(), "", Resources(), open=False)
+            self.servers[life] = ServerView(life, None, room, listed=False)
+        return self.servers[life]
+
+    def _occupant(self, state: StepState, index: int) -> Occupant:
+        """Return what a task takes of its server."""
+        task = state.key.task(index)
+        return Occupant(
+            task=task,
+            group=str(state.key) if state.step.gang else task,
+            step=str(state.key),
+            need=state.step.room,
+            priority=state.job.policy.priority,
+            pinned=state.step.max_unavailable > 0,
+        )
+
+    # Servers
+
+    def take_listing(self, listings: Iterable[Listing]) -> None:
+        """Take what servers say of themselves."""
+        with self.lock:
+            now_s = self._clock.now()
+            current = {listing.life: listing for listing in listings}
+            by_id = {listing.id: listing.life for listing in current.values()}
+            for view in list(self.servers.values()):
+                if view.life not in current:
+                    view.listed = False
+                    if self._reborn(view, by_id):
+                        self.lose_server(view, "it has started again")
+            for listing in current.values():
+                view = self._server_of(listing.life)
+                self._refresh(view, listing, now_s)
+            self.changed.set()
+
+    def _reborn(self, view: ServerView, by_id: dict[str, str]) -> bool:
+        """Tell whether the same server is listed in a later lifetime."""
+        name, _, born = view.life.rpartition("@")
+        other = by_id.get(name)
+        return other is not None and int(other.rpartition("@")[2]) > int(born)
+
+    def _refresh(self, view: ServerView, listing: Listing, now_s: float) -> None:
+        """Take one server's own words."""
+        if view.listing is None or view.listing.draining != listing.draining:
+            self._log.bind(
+                server=view.life, draining=listing.draining, service=listing.service
+            ).info("A server is listed.")
+        view.listed = True
+        view.listing = listing
+        room = view.room
+        room.zone = listing.zone
+        room.rack = listing.rack
+        room.labels = listing.labels
+        room.service = listing.service
+        room.capacity = listing.capacity
+        if view.clock_ahead_ms is None:
+            view.note_clock(listing.clock_ms, now_s)
+
+    def refresh_rooms(self) -> None:
+        """Say which servers may take new work, and what stopping costs."""
+        with self.lock:
+            now_s = self._clock.now()
+            for view in self.servers.values():
+                listing = view.listing
+                view.room.open = bool(
+                    view.listed
+                    and listing is not None
+                    and not listing.draining
+                    and view.clock_ahead_ms is not None
+                    and view.silent_since_s is None
+                    and now_s >= view.suspect_until_s
+                )
+                for task, occupant in view.room.occupants.items():
+                    run = view.runs[task]
+                    cores = (
+                        occupant.need.cpu_milli / 1000
+                        + occupant.need.accelerators * ACCELERATOR_CORES
+                    )
+                    since = run.saved_s if run.checkpoint else run.assigned_s
+                    occupant.unsaved_core_s = cores * max(0.0, now_s - since)
+                    if run.stopping:
+                        occupant.pinned = True
+
+    def lose_overdue(self) -> None:
+        """End the runs of servers whose leases have run out unheard."""
+        with self.lock:
+            now_s = self._clock.now()
+            for view in list(self.servers.values()):
+                if view.runs and now_s >= view.ends_s and not self._answers(view):
+                    self.lose_server(view, "its lease has run out")
+                if not view.runs and not view.listed and not view.watched:
+                    del self.servers[view.life]
+
+    def _answers(self, view: ServerView) -> bool:
+        """Tell whether a server has answered since its last lease began."""
+        return view.heard_s is not None and view.silent_since_s is None
+
+    def lose_server(self, view: ServerView, reason: str) -> None:
+        """End all runs of a lifetime that runs nothing any more."""
+        with self.lock:
+            self._log.bind(server=view.life, runs=len(view.runs), reason=reason).warning(
+                "A server's runs are lost."
+            )
+            for run in list(view.runs.values()):
+                self._end_run(view, run, Ended.LOST, run.checkpoint)
+            view.listed = False
+            self.changed.set()
+
+    # Runs
+
+    def assign(self, state: StepState, places: dict[int, str]) -> list[tuple[ServerView, RunView]]:
+        """Begin a run and have it recorded.
+
+        Returns:
+            The runs to start once the record is in the store.
+        """
+        with self.lock:
+            state.assign(places)
+            started = []
+            for i, life in places.items():
+                run = RunView(
+                    state.key.task(i), state.key, i, state.tasks[i].run, self._clock.now()
+                )
+                view = self.servers[life]
+                view.admit(run, self._occupant(state, i))
+                started.append((view, run))
+            self._record(state)
+            view = self.jobs[state.job.id]
+            if view.phase is JobPhase.QUEUED:
+                self._set_phase(view, JobPhase.RUNNING)
+            return started
+
+    def on_hold(self, view: ServerView, answer: HoldAnswer, sent_s: float) -> None:
+        """Take what a server says when its lease is renewed.
+
+        Args:
+            view: The server.
+            answer: What it said.
+            sent_s: When it was asked.
+        """
+        with self.lock:
+            now_s = self._clock.now()
+            if not self._note_answer(view, answer.reply.outcome, now_s):
+                return
+            view.note_clock(answer.reply.clock_ms, now_s)
+            for row in answer.ended:
+                self._take_end(view, row)
+            running = {row.task: row for row in answer.running}
+            for row in answer.running:
+                self._take_row(view, row, now_s)
+            for run in list(view.runs.values()):
+                gone = run.settled_s is not None and run.settled_s < sent_s
+                row = running.get(run.task)
+                if gone and (row is None or row.run != run.run):
+                    self._end_run(view, run, Ended.LOST, run.checkpoint)
+            self.changed.set()
+
+    def _note_answer(self, view: ServerView, outcome: OrderOutcome, now_s: float) -> bool:
+        """Note whether a server answers; return whether its answer counts."""
+        match outcome:
+            case OrderOutcome.DONE:
+                if view.silent_since_s is not None:
+                    self._log.bind(server=view.life).info("A server answers again.")
+                view.heard_s = now_s
+                view.silent_since_s = None
+                return True
+            case OrderOutcome.OTHER_LIFE:
+                self.lose_server(view, "another lifetime answers")
+            case _ if view.silent_since_s is None:
+                view.silent_since_s = now_s
+                self._log.bind(server=view.life, answer=outcome.value).warning(
+                    "A server does not answer."
+                )
+        return False
+
+    def _take_row(self, view: ServerView, row: RunRow, now_s: float) -> None:
+        """Take what a server says of one run."""
+        run = view.runs.get(row.task)
+        if run is None or run.run != row.run:
+            self._stop_stray(view, row)
+            return
+        if not run.confirmed:
+            run.confirmed = True
+            run.settled_s = run.settled_s or now_s
+        run.percent = row.percent
+        if row.checkpoint and row.checkpoint != run.checkpoint:
+            run.checkpoint = row.checkpoint
+            run.saved_s = now_s
+
+    def _stop_stray(self, view: ServerView, row: RunRow) -> None:
+        """Have a run stopped that should not be there."""
+        known = view.runs.get(row.task)
+        if known is not None and known.run > row.run:
+            return
+        step_text, _, index = row.task.rpartition(".")
+        stray = RunView(row.task, read_step_key(step_text), int(index), row.run, self._clock.now())
+        stray.stopping = True
+        job = self.jobs.get(stray.key.job)
+        state = job.steps.get(stray.key) if job else None
+        if state is not None and known is None:
+            view.admit(stray, self._occupant(state, stray.index))
+        self._log.bind(task=row.task, run=row.run, server=view.life).warning(
+            "A run that nobody asked for is stopped."
+        )
+        self._stop_run(view, stray, "nobody asked for this run")
+
+    def _take_end(self, view: ServerView, row: EndRow) -> None:
+        """Take the end of a run."""
+        if row.number <= view.read_end:
+            return
+        view.read_end = row.number
+        run = view.runs.get(row.task)
+        if run is None or run.run != row.run:
+            return
+        self._blame(view, run, row.how)
+        self._end_run(view, run, row.how, row.checkpoint or run.checkpoint)
+
+    def _blame(self, view: ServerView, run: RunView, how: Ended) -> None:
+        """Set a server aside that fails many different jobs in a row."""
+        if how is Ended.DONE:
+            view.failed_jobs.clear()
+        if how is not Ended.FAILED:
+            return
+        view.failed_jobs.add(run.key.job)
+        if len(view.failed_jobs) >= FAILING_JOBS:
+            view.suspect_until_s = self._clock.now() + SET_ASIDE_S
+            self._log.bind(server=view.life, jobs=len(view.failed_jobs)).warning(
+                "A server that fails many jobs is set aside."
+            )
+            view.failed_jobs.clear()
+
+    def end_unstarted(self, view: ServerView, run: RunView, reason: str) -> None:
+        """Note that a run was refused and never began."""
+        with self.lock:
+            if view.runs.get(run.task) is run:
+                self._log.bind(task=run.task, run=run.run, server=view.life, reason=reason).info(
+                    "A start was refused."
+                )
+                self._end_run(view, run, Ended.LOST, run.checkpoint)
+                self.changed.set()
+
+    def _end_run(self, view: ServerView, run: RunView, how: Ended, checkpoint: str) -> None:
+        """Note that a run is over, and what follows for its step and job."""
+        view.drop(run.task)
+        job = self.jobs.get(run.key.job)
+        state = job.steps.get(run.key) if job else None
+        self._log.bind(task=run.task, run=run.run, server=view.life, how=how.value).info(
+            "A run has ended."
+        )
+        if job is None or state is None:
+            return
+        task = state.tasks[run.index]
+        if task.phase is not TaskPhase.ASSIGNED or task.run != run.run:
+            return
+        state.end(run.index, how, checkpoint)
+        self._record(state)
+        if state.step.gang and not state.done:
+            self._stop_gang(state)
+        if job.phase.final:
+            return
+        if state.exhausted:
+            self._finish(job, JobPhase.FAILED, "a task failed as often as its queue allows")
+        elif state.done and job.done:
+            self._finish(job, JobPhase.COMPLETED, "all its tasks are done")
+
+    def _stop_gang(self, state: StepState) -> None:
+        """Stop what is left of a gang that has lost a member."""
+        for i in state.assigned():
+            self.stop_task(state, i, "another member of its gang has ended")
+
+    def stop_task(self, state: StepState, index: int, reason: str) -> None:
+        """Have the present run of a task stopped."""
+        with self.lock:
+            view = self.servers.get(state.tasks[index].server)
+            run = view.runs.get(state.key.task(index)) if view else None
+            if view is None or run is None or run.stopping:
+                return
+            run.stopping = True
+            self._log.bind(task=run.task, run=run.run, server=view.life, reason=reason).info(
+                "A run is stopped."
+            )
+            self._stop_run(view, run, reason)
+
+    def stop_group(self, group: str, reason: str) -> None:
+        """Have everything stopped that is stopped together."""
+        with self.lock:
+            for view in list(self.servers.values()):
+                for occupant in list(view.room.occupants.values()):
+                    if occupant.group == group:
+                        run = view.runs[occupant.task]
+                        state = self.jobs[run.key.job].steps[run.key]
+                        self.stop_task(state, run.index, reason)
+
+    # What must last
+
+    def finish_due(self) -> None:
+        """Open the occurrences that are due, and end the jobs that are done."""
+        with self.lock:
+            now_ms = self._clock.wall() * 1000
+            for view in self.jobs.values():
+                if view.phase.final:
+                    continue
+                while (
+                    view.next_occurrence < view.job.occurrences
+                    and view.job.due_ms(view.next_occurrence) <= now_ms
+                ):
+                    view.open_next()
+                if view.done:
+                    self._finish(view, JobPhase.COMPLETED, "all its tasks are done")
+
+    def _finish(self, view: JobView, phase: JobPhase, reason: str) -> None:
+        """End a job and stop what still runs of it."""
+        self._log.bind(job=view.job.id, phase=phase.value, reason=reason).info("A job has ended.")
+        view.ended_s = self._clock.now()
+        self._set_phase(view, phase)
+        self._stop_leftovers(view)
+
+    def _stop_leftovers(self, view: JobView) -> None:
+        """Stop what runs of a job that has ended."""
+        for state in view.steps.values():
+            for i in state.assigned():
+                self.stop_task(state, i, f"its job is {view.phase.value}")
+
+    def _set_phase(self, view: JobView, phase: JobPhase) -> None:
+        """Change what callers are told."""
+        view.phase = phase
+        self._recorder.put(JOBS, view.job.id + PHASE_SUFFIX, phase.value.encode())
+
+    def _record(self, state: StepState) -> None:
+        """Have the present state of a step written."""
+        self._recorder.put(RUNS, str(state.key), write_step(state))
--- /dev/null
+++ b/libs/coordination/src/catkinknot/coordination/_desk.py
@@ -0,0 +1,200 @@
+"""Take the calls of clients: submit, look, cancel, count."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+
+from loguru import logger
+
+from catkinknot.jobs import (
+    CANCEL_SUFFIX,
+    Configuration,
+    Job,
+    JobBook,
+    JobPhase,
+    Queue,
+    Workspace,
+    select_queue,
+    write_job,
+)
+from catkinknot.model import Clock
+
+from ._store import JOBS, Record, Store
+from ._tail import Tail
+from .exceptions import StoreError, StoreRefusedError
+
+__all__ = ["Answer", "Desk", "Verdict"]
+
+RETRY_S = 0.05
+"""Pause before a refused append is tried again."""
+
+REFUSAL_S = 1
+"""When a caller should come back after a refusal, in seconds."""
+
+
+class Verdict(Enum):
+    """Name how a call ends."""
+
+    ACCEPTED = "accepted"
+    SHOWN = "shown"
+    COUNTED = "counted"
+    CANCELLED = "cancelled"
+    UNKNOWN_QUEUE = "unknown queue"
+    UNKNOWN_JOB = "unknown job"
+    UNKNOWN_KEY = "unknown key"
+    NO_CONFIG = "no configuration"
+    REFUSED = "refused, has not run"
+    UNSURE = "outcome unknown"
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """Answer a call.
+
+    Attributes:
+        verdict: How it ended.
+        phase: The job's phase, where one is shown.
+        waiting: Jobs that have not begun, where they are counted.
+        retry_after_s: When to come back after a refusal.
+    """
+
+    verdict: Verdict
+    phase: JobPhase | None = None
+    waiting: int = 0
+    retry_after_s: int = 0
+
+
+class Desk:
+    """Answer callers from the ledger, at any instance."""
+
+    def __init__(
+        self,
+        *,
+        store: Store,
+        tail: Tail,
+        book: JobBook,
+        config: Callable[[], Configuration | None],
+        clock: Clock,
+    ) -> None:
+        """Keep the parts.
+
+        Args:
+            store: The store.
+            tail: Follows the topic of jobs.
+            book: Knows the jobs.
+            config: Returns the configuration in force.
+            clock: Where time comes from.
+        """
+        self._store = store
+        self._tail = tail
+        self._book = book
+        self._config = config
+        self._clock = clock
+        self._log = logger.bind(part="desk")
+
+    def admit(self, host: str, path: str, key: str) -> Answer | tuple[Queue, Workspace]:
+        """Find the queue and the workspace of a call, or say why there is none."""
+        cfg = self._config()
+        if cfg is None:
+            return Answer(Verdict.NO_CONFIG, retry_after_s=REFUSAL_S)
+        queue = select_queue(cfg, host, path)
+        if queue is None:
+            return self._denied(Verdict.UNKNOWN_QUEUE, cfg, path)
+        workspace = cfg.workspace_of(key)
+        if workspace is None and not queue.open:
+            return self._denied(Verdict.UNKNOWN_KEY, cfg, path)
+        return queue, workspace or Workspace("")
+
+    def submit(self, job: Job, deadline_s: float) -> Answer:
+        """Accept a job for good, or say that it never runs.
+
+        Args:
+            job: The job.
+            deadline_s: When its caller stops waiting.
+        """
+        if self._book.get(job.id) is not None:
+            self._say(job.id, "A repeated submit is the same job.", Verdict.ACCEPTED)
+            return Answer(Verdict.ACCEPTED)
+        verdict = self._append(job.id, Record(job.id, write_job(job)), deadline_s)
+        self._say(job.id, "A submit was answered.", verdict, queue=job.policy.queue)
+        return Answer(verdict, retry_after_s=REFUSAL_S)
+
+    def look(self, job_id: str) -> Answer:
+        """Say in which phase a job is."""
+        entry = self._book.get(job_id)
+        if entry is None:
+            known = self._refresh(job_id)
+            if known is not Verdict.SHOWN:
+                return Answer(known, retry_after_s=REFUSAL_S)
+            entry = self._book.get(job_id)
+        return Answer(Verdict.SHOWN, phase=entry.shown)
+
+    def cancel(self, job_id: str, deadline_s: float) -> Answer:
+        """Cancel a job.
+
+        Args:
+            job_id: Which one.
+            deadline_s: When its caller stops waiting.
+        """
+        if self._book.get(job_id) is None:
+            known = self._refresh(job_id)
+            if known is not Verdict.SHOWN:
+                return Answer(known, retry_after_s=REFUSAL_S)
+        entry = self._book.get(job_id)
+        if entry.cancelled or entry.phase.final:
+            return Answer(Verdict.CANCELLED)
+        verdict = self._append(job_id, Record(job_id + CANCEL_SUFFIX, b"1"), deadline_s)
+        self._say(job_id, "A cancel was answered.", verdict)
+        if verdict is Verdict.ACCEPTED:
+            return Answer(Verdict.CANCELLED)
+        return Answer(Verdict.UNSURE)
+
+    def count(self, queue: Queue) -> Answer:
+        """Count the jobs of a queue that have not begun."""
+        return Answer(Verdict.COUNTED, waiting=self._book.count_waiting(queue.policy.queue))
+
+    def _append(self, job_id: str, record: Record, deadline_s: float) -> Verdict:
+        """Append a caller's record, while its time lasts."""
+        unsure = False
+        while True:
+            left_s = deadline_s - self._clock.now()
+            if left_s <= 0:
+                return Verdict.UNSURE if unsure else Verdict.REFUSED
+            try:
+                self._store.append(JOBS, [record], timeout_s=left_s)
+                return Verdict.ACCEPTED
+            except StoreRefusedError as exc:
+                self._log.bind(job=job_id, reason=exc.message).debug("The store refused.")
+                self._clock.sleep(RETRY_S)
+            except StoreError as exc:
+                self._log.bind(job=job_id, reason=exc.message).info("The store was silent.")
+                unsure = True
+
+    def _refresh(self, job_id: str) -> Verdict:
+        """Read all that the ledger holds before a job is called unknown."""
+        try:
+            self._tail.catch_up()
+        except StoreError as exc:
+            self._say(job_id, "The ledger is away.", Verdict.UNSURE, reason=exc.message)
+            return Verdict.UNSURE
+        if self._book.get(job_id) is None:
+            self._say(job_id, "A call names no job.", Verdict.UNKNOWN_JOB)
+            return Verdict.UNKNOWN_JOB
+        return Verdict.SHOWN
+
+    def _denied(self, verdict: Verdict, cfg: Configuration, path: str) -> Answer:
+        """Refuse a call by the configuration."""
+        self._log.bind(path=path, config=cfg.version, outcome=verdict.value).info(
+            "A call was denied."
+        )
+        return Answer(verdict)
+
+    def _say(self, job_id: str, text: str, verdict: Verdict, **inputs: object) -> None:
+        """Log one decision on a caller's job."""
+        self._log.bind(
+            job=job_id,
+            outcome=verdict.value,
+            ledger=self._tail.next_offset,
+            ledger_age_ms=int((self._clock.now() - self._tail.heard_s) * 1000),
+            **inputs,
+        ).info(text)
--- /dev/null
+++ b/libs/coordination/src/catkinknot/coordination/_election.py
@@ -0,0 +1,154 @@
+"""Follow who leads, and take over when nobody does."""
+
+import json
+import secrets
+import threading
+import zlib
+from collections.abc import Callable
+
+from loguru import logger
+
+from catkinknot.model import Clock
+
+from ._leader import Claim, Leader, lead
+from ._recorder import LEAD_KEY, PRODUCER, lead_mark
+from ._store import JOBS, RUNS, Fence, Record, Store
+from ._tail import Tail
+from .exceptions import FencedError, MovedError, OutOfSequenceError, StoreError
+
+__all__ = ["Election"]
+
+SILENCE_S = 1.6
+"""Time without a mark of the leader after which another may claim."""
+
+HEARD_S = 0.8
+"""A candidate must have heard from the store this lately."""
+
+SPREAD_S = 0.4
+"""Instances wait up to this much longer, each its own part of it."""
+
+LOOK_S = 0.1
+"""Time between two looks at the leader's mark."""
+
+MAX_NUMBER = 1 << 30
+"""Sequence numbers of a claim begin below this, at random."""
+
+
+class Election:
+    """Claim leadership in the store when the leader's marks stop.
+
+    Attributes:
+        epoch: Highest epoch that was seen.
+        leading: The leader that this instance runs, if it leads.
+    """
+
+    def __init__(
+        self,
+        instance: str,
+        *,
+        store: Store,
+        tail: Tail,
+        clock: Clock,
+        make_leader: Callable[[Claim], Leader],
+    ) -> None:
+        """Begin as a follower.
+
+        Args:
+            instance: This instance.
+            store: The store.
+            tail: Follows the topic of jobs and marks.
+            clock: Where time comes from.
+            make_leader: Wires a leader for a claim.
+        """
+        self._instance = instance
+        self._store = store
+        self._tail = tail
+        self._clock = clock
+        self._make_leader = make_leader
+        self._patience_s = SILENCE_S + SPREAD_S * (zlib.crc32(instance.encode()) % 16) / 16
+        self._marked_s = clock.now() - SILENCE_S + LOOK_S
+        self._nonce = ""
+        self._resigned = False
+        self._log = logger.bind(part="election")
+        self.epoch = 0
+        self.leading: Leader | None = None
+
+    def on_mark(self, value: bytes) -> None:
+        """Take the mark of a leader."""
+        try:
+            mark = json.loads(value)
+            epoch, nonce = int(mark["epoch"]), str(mark["nonce"])
+        except (ValueError, KeyError, TypeError) as exc:
+            self._log.bind(reason=str(exc)[:200]).error("A leader's mark can't be read.")
+            return
+        if epoch > self.epoch:
+            self._log.bind(epoch=epoch, leader=mark.get("instance")).info("A leader is known.")
+        if epoch >= self.epoch:
+            self.epoch = epoch
+            self._nonce = nonce
+            self._marked_s = self._clock.now()
+            self._resigned = bool(mark.get("resigned"))
+
+    def run(self, stopped: threading.Event) -> None:
+        """Follow, claim and lead until stopped."""
+        while not stopped.wait(LOOK_S):
+            if not self._vacant():
+                continue
+            try:
+                claim = self._claim()
+            except StoreError as exc:
+                self._log.bind(reason=exc.message).warning("A claim did not succeed.")
+                continue
+            if claim is not None:
+                self._lead(claim, stopped)
+
+    def _vacant(self) -> bool:
+        """Tell whether nobody seems to lead while the store answers."""
+        now_s = self._clock.now()
+        if self._tail.next_offset is None or now_s - self._tail.heard_s > HEARD_S:
+            return False
+        return self._resigned or now_s - self._marked_s > self._patience_s
+
+    def _claim(self) -> Claim | None:
+        """Claim the next epoch; return None if another was faster."""
+        self._tail.catch_up()
+        if not self._vacant():
+            return None
+        epoch = self.epoch + 1
+        nonce = secrets.token_hex(8)
+        number = secrets.randbelow(MAX_NUMBER)
+        sent_s = self._clock.now()
+        mark = lead_mark(epoch, self._instance, nonce)
+        try:
+            self._store.append(
+                JOBS,
+                [mark],
+                fence=Fence(PRODUCER, epoch, number),
+                only_at=self._tail.next_offset,
+            )
+        except (MovedError, FencedError, OutOfSequenceError):
+            self._tail.catch_up()
+            return None
+        self._tail.catch_up()
+        if self._nonce != nonce:
+            return None
+        runs_number = secrets.randbelow(MAX_NUMBER)
+        self._store.append(
+            RUNS, [Record(LEAD_KEY, mark.value)], fence=Fence(PRODUCER, epoch, runs_number)
+        )
+        self._log.bind(epoch=epoch).info("The claim of this instance counts.")
+        return Claim(epoch, nonce, sent_s, {JOBS: number + 1, RUNS: runs_number + 1})
+
+    def _lead(self, claim: Claim, stopped: threading.Event) -> None:
+        """Lead until deposed or stopped."""
+        leader = self._make_leader(claim)
+        try:
+            with lead(leader):
+                self.leading = leader
+                while not stopped.wait(LOOK_S) and not leader.deposed:
+                    pass
+        except StoreError as exc:
+            self._log.bind(reason=exc.message).warning("Taking over did not succeed.")
+        finally:
+            self.leading = None
+            self._marked_s = self._clock.now()
--- /dev/null
+++ b/libs/coordination/src/catkinknot/coordination/_leader.py
@@ -0,0 +1,259 @@
+"""Lead: take over what earlier leaders left, then decide until deposed."""
+
+import threading
+from collections.abc import Callable, Iterable
+from contextlib import contextmanager
+from dataclasses import dataclass
+
+from loguru import logger
+
+from catkinknot.jobs import (
+    Configuration,
+    JobBook,
+    StepKey,
+    TaskState,
+    read_step,
+    read_step_key,
+)
+from catkinknot.model import Clock
+from catkinknot.model.exceptions import BadInputError
+
+from ._board import Board
+from ._orders import Orders
+from ._planner import Planner
+from ._recorder import Recorder
+from ._servers import ServerCalls, ServerListing
+from ._store import RUNS, Store
+from ._views import RunView, ServerView
+from ._watch import watch_server
+from .exceptions import StoreError
+
+__all__ = ["CONFIRMED_S", "Claim", "Leader", "lead"]
+
+CONFIRMED_S = 12.0
+"""A lease ends at the latest this long after the store last accepted a write."""
+
+PLAN_S = 0.2
+"""Longest time between two rounds of decisions."""
+
+LISTING_S = 0.4
+"""Time between two looks at the list of servers."""
+
+
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """Hold a claim of leadership that the store has accepted.
+
+    Attributes:
+        epoch: The leader's epoch.
+        nonce: What tells the claim from others.
+        sent_s: When it was sent.
+        numbers: Next sequence number, by topic.
+    """
+
+    epoch: int
+    nonce: str
+    sent_s: float
+    numbers: dict[str, int]
+
+
+class Leader:
+    """Decide for all servers until another instance takes over."""
+
+    def __init__(
+        self,
+        claim: Claim,
+        *,
+        instance: str,
+        store: Store,
+        book: JobBook,
+        listing: ServerListing,
+        calls: ServerCalls,
+        config: Callable[[], Configuration | None],
+        clock: Clock,
+    ) -> None:
+        """Wire the parts of one leadership; use `lead`."""
+        self._claim = claim
+        self._store = store
+        self._book = book
+        self._listing = listing
+        self._calls = calls
+        self._clock = clock
+        self._log = logger.bind(part="leader", epoch=claim.epoch)
+        self.stopped = threading.Event()
+        self.recorder = Recorder(
+            store,
+            epoch=claim.epoch,
+            instance=instance,
+            nonce=claim.nonce,
+            first_numbers=claim.numbers,
+            confirmed_s=claim.sent_s,
+            clock=clock,
+        )
+        self._orders = Orders(
+            calls,
+            token=claim.epoch,
+            clock=clock,
+            lease_end=self._lease_end,
+            on_fenced=self.depose,
+            stopped=self.stopped,
+        )
+        self.board = Board(
+            self.recorder,
+            clock=clock,
+            stop_run=lambda view, run, reason: self._orders.stop(self.board, view, run),
+            fence_s=clock.now(),
+            inherited_s=CONFIRMED_S,
+        )
+        self._planner = Planner(self.board, clock=clock, config=config, start=self._start_runs)
+        self._threads: list[threading.Thread] = []
+
+    def begin(self) -> None:
+        """Take over, then start to decide; raises a `StoreError`."""
+        recorded = self._read_runs()
+        self.board.take_listing(self._listing.list().values())
+        for entry in self._book.entries():
+            self.board.take_entry(entry, recorded.get(entry.job.id, {}))
+        self._log.bind(jobs=len(self.board.jobs), servers=len(self.board.servers)).info(
+            "This instance leads."
+        )
+        self._spawn(self.recorder.run, "recorder", self.stopped)
+        self._spawn(self._follow_listing, "listing")
+        self._spawn(self._decide, "planner")
+
+    def take_changes(self, job_ids: Iterable[str]) -> None:
+        """Take the jobs that the ledger has changed."""
+        for job_id in job_ids:
+            entry = self._book.get(job_id)
+            if entry is None:
+                self.board.forget_job(job_id)
+            else:
+                self.board.take_entry(entry, {})
+
+    @property
+    def deposed(self) -> bool:
+        """Whether this leadership is over."""
+        return self.stopped.is_set() or self.recorder.fenced
+
+    def depose(self) -> None:
+        """End this leadership."""
+        if not self.stopped.is_set():
+            self._log.warning("This instance leads no more.")
+        self.stopped.set()
+        self.board.changed.set()
+
+    def close(self) -> None:
+        """End this leadership and wait for its threads."""
+        self.depose()
+        self._orders.close()
+        for thread in self._threads:
+            thread.join(timeout=3.0)
+
+    def _lease_end(self) -> float:
+        """Return the latest time to which a lease may be granted now."""
+        return self.recorder.confirmed_s + CONFIRMED_S
+
+    def _read_runs(self) -> dict[str, dict[StepKey, list[TaskState]]]:
+        """Read what earlier leaders recorded of each job's steps."""
+        found: dict[str, dict[StepKey, list[TaskState]]] = {}
+        for text, value in self._store.newest(RUNS).records.items():
+            if text.startswith("/") or not value:
+                continue
+            try:
+                key = read_step_key(text)
+                entry = self._book.get(key.job)
+                if entry is None:
+                    continue
+                tasks = read_step(value, entry.job.steps[key.step].count)
+            except (BadInputError, IndexError) as exc:
+                self._log.bind(key=text, reason=str(exc)[:200]).error("A record can't be read.")
+                continue
+            found.setdefault(key.job, {})[key] = tasks
+        return found
+
+    def _spawn(self, target: Callable[..., None], name: str, *args: object) -> None:
+        """Run a part of the leader on a thread of its own."""
+        thread = threading.Thread(target=self._guard, args=(target, *args), name=name, daemon=True)
+        self._threads.append(thread)
+        thread.start()
+
+    def _guard(self, target: Callable[..., None], *args: object) -> None:
+        """End the leadership when one of its parts breaks."""
+        try:
+            target(*args)
+        except Exception:
+            self._log.exception("A part of the leader broke.")
+        finally:
+            if target == self.recorder.run:
+                self.depose()
+
+    def _decide(self) -> None:
+        """Decide whenever something has changed."""
+        while not self.stopped.is_set():
+            self.board.changed.wait(PLAN_S)
+            self.board.changed.clear()
+            if self.stopped.is_set():
+                return
+            self._planner.plan()
+            self._watch_busy()
+
+    def _watch_busy(self) -> None:
+        """See that every server with work of ours has its lease renewed."""
+        with self.board.lock:
+            for view in list(self.board.servers.values()):
+                if view.runs and view.listing is not None and not view.watched:
+                    view.watched = True
+                    self._spawn_watch(view)
+        self._threads = [thread for thread in self._threads if thread.is_alive()]
+
+    def _spawn_watch(self, view: ServerView) -> None:
+        """Start the thread that holds one server."""
+
+        def watch() -> None:
+            try:
+                watch_server(
+                    self.board,
+                    view,
+                    calls=self._calls,
+                    recorder=self.recorder,
+                    token=self._claim.epoch,
+                    clock=self._clock,
+                    lease_end=self._lease_end,
+                    on_fenced=self.depose,
+                    stopped=self.stopped,
+                )
+            finally:
+                view.watched = False
+
+        self._spawn(watch, f"watch-{view.life}")
+
+    def _start_runs(self, runs: list[tuple[ServerView, RunView]]) -> None:
+        """Send starts once the store has their record."""
+
+        def send() -> None:
+            for view, run in runs:
+                self._orders.start(self.board, view, run)
+
+        self.recorder.after(send)
+
+    def _follow_listing(self) -> None:
+        """Look at the list of servers over and over."""
+        lost = False
+        while not self.stopped.wait(LISTING_S):
+            try:
+                self.board.take_listing(self._listing.list().values())
+                lost = False
+            except StoreError as exc:
+                if not lost:
+                    self._log.bind(reason=exc.message).warning("The list of servers is away.")
+                lost = True
+
+
+@contextmanager
+def lead(leader: Leader):
+    """Lead for as long as the context is open."""
+    try:
+        leader.begin()
+        yield leader
+    finally:
+        leader.close()
--- /dev/null
+++ b/libs/coordination/src/catkinknot/coordination/_orders.py
@@ -0,0 +1,175 @@
+"""Send orders to servers and act on their answers."""
+
+import threading
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+
+from loguru import logger
+
+from catkinknot.model import Clock
+
+from ._board import Board
+from ._servers import OrderOutcome, OrderReply, ServerCalls, StartOrder, StopOrder
+from ._views import RunView, ServerView
+
+__all__ = ["LEASE_S", "Orders"]
+
+LEASE_S = 7.0
+"""How long a server keeps its work without hearing from the leader."""
+
+START_TRIES = 3
+"""How often a start without an answer is sent before the run is given up."""
+
+STOP_TRIES = 6
+"""How often a stop without an answer is sent; the lease ends the run after that."""
+
+RETRY_S = 0.15
+"""Pause before an order is sent again."""
+
+SENDERS = 24
+"""Orders that are under way at once."""
+
+
+class Orders:
+    """Send starts and stops, each on a thread of a pool."""
+
+    def __init__(
+        self,
+        calls: ServerCalls,
+        *,
+        token: int,
+        clock: Clock,
+        lease_end: Callable[[], float],
+        on_fenced: Callable[[], None],
+        stopped: threading.Event,
+    ) -> None:
+        """Keep the parts.
+
+        Args:
+            calls: Reaches the servers.
+            token: The leader's epoch.
+            clock: Where time comes from.
+            lease_end: Returns the latest time to which a lease may be granted.
+            on_fenced: Told when a server has heard from a later leader.
+            stopped: Set when this leader is done.
+        """
+        self._calls = calls
+        self._token = token
+        self._clock = clock
+        self._lease_end = lease_end
+        self._on_fenced = on_fenced
+        self._stopped = stopped
+        self._pool = ThreadPoolExecutor(SENDERS, thread_name_prefix="order")
+        self._log = logger.bind(part="orders", epoch=token)
+
+    def close(self) -> None:
+        """Send nothing more."""
+        self._pool.shutdown(wait=False, cancel_futures=True)
+
+    def start(self, board: Board, view: ServerView, run: RunView) -> None:
+        """Start a run whose record is in the store."""
+        self._submit(self._start, board, view, run)
+
+    def stop(self, board: Board, view: ServerView, run: RunView) -> None:
+        """Stop a run."""
+        self._submit(self._stop, board, view, run)
+
+    def _submit(self, action: Callable[..., None], *args: object) -> None:
+        """Run an order on the pool, unless this leader is done."""
+        try:
+            self._pool.submit(self._guard, action, *args)
+        except RuntimeError:
+            self._log.debug("An order was dropped; this leader is done.")
+
+    def _guard(self, action: Callable[..., None], *args: object) -> None:
+        """Log what an order raises; a run must not vanish in a thread."""
+        try:
+            action(*args)
+        except Exception:
+            self._log.exception("An order failed.")
+
+    def _start(self, board: Board, view: ServerView, run: RunView) -> None:
+        """Send a start until it is answered, then give the run up."""
+        for _ in range(START_TRIES):
+            order = self._start_order(board, view, run)
+            if order is None or self._stopped.is_set():
+                return
+            reply = self._calls.start(view.listing, order)
+            self._log.bind(
+                task=run.task, run=run.run, server=view.life, answer=reply.outcome.value
+            ).info("A start was sent.")
+            if self._started(board, view, run, reply):
+                return
+            run.doubtful = True
+            self._stopped.wait(RETRY_S)
+        with board.lock:
+            state = board.jobs[run.key.job].steps[run.key]
+            board.stop_task(state, run.index, "its start got no answer")
+
+    def _start_order(self, board: Board, view: ServerView, run: RunView) -> StartOrder | None:
+        """Return the order, or None if the run is not wanted any more."""
+        with board.lock:
+            if view.runs.get(run.task) is not run or view.listing is None:
+                return None
+            if run.stopping and not run.doubtful:
+                board.end_unstarted(view, run, "it was stopped before it was sent")
+                return None
+            if run.stopping:
+                return None
+            job = board.jobs[run.key.job].job
+            task = board.jobs[run.key.job].steps[run.key].tasks[run.index]
+            now_s = self._clock.now()
+            until_ms = view.until_ms(min(now_s + LEASE_S, self._lease_end()), now_s)
+            return StartOrder(
+                run.task, run.run, job.payload, until_ms, self._token, task.checkpoint
+            )
+
+    def _started(self, board: Board, view: ServerView, run: RunView, reply: OrderReply) -> bool:
+        """Act on the answer to a start; return whether it settles the matter."""
+        now_s = self._clock.now()
+        match reply.outcome:
+            case OrderOutcome.SILENT:
+                return False
+            case OrderOutcome.DONE:
+                with board.lock:
+                    view.note_clock(reply.clock_ms, now_s)
+                    run.confirmed = True
+                    run.settled_s = now_s
+                return True
+            case OrderOutcome.FENCED:
+                self._on_fenced()
+                return True
+            case OrderOutcome.OTHER_LIFE:
+                # The new lifetime may have taken the order under the old identity.
+                self._calls.stop(view.listing, StopOrder(run.task, run.run, self._token))
+                board.lose_server(view, "another lifetime answers")
+                return True
+        if reply.outcome is OrderOutcome.UNHEALTHY:
+            view.suspect_until_s = now_s + 2.0
+        if run.doubtful:
+            return False
+        board.end_unstarted(view, run, reply.outcome.value)
+        return True
+
+    def _stop(self, board: Board, view: ServerView, run: RunView) -> None:
+        """Send a stop until it is answered."""
+        for _ in range(STOP_TRIES):
+            if self._stopped.is_set() or view.listing is None:
+                return
+            reply = self._calls.stop(view.listing, StopOrder(run.task, run.run, self._token))
+            self._log.bind(
+                task=run.task, run=run.run, server=view.life, answer=reply.outcome.value
+            ).info("A stop was sent.")
+            match reply.outcome:
+                case OrderOutcome.FENCED:
+                    self._on_fenced()
+                    return
+                case OrderOutcome.OTHER_LIFE:
+                    board.lose_server(view, "another lifetime answers")
+                    return
+                case OrderOutcome.SILENT | OrderOutcome.UNHEALTHY:
+                    self._stopped.wait(RETRY_S)
+                case _:
+                    with board.lock:
+                        run.settled_s = self._clock.now()
+                    return
--- /dev/null
+++ b/libs/coordination/src/catkinknot/coordination/_planner.py
@@ -0,0 +1,186 @@
+"""Give waiting tasks to servers, and stop what is in their way."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from loguru import logger
+
+from catkinknot.jobs import Configuration, StepKey, StepState
+from catkinknot.model import Clock
+from catkinknot.packing import Placement, Wanting, choose, guaranteed_jobs
+
+from ._board import Board
+from ._views import JobView, RunView, ServerView
+
+__all__ = ["Planner"]
+
+VICTIM_WAIT_S = 3.0
+"""How long a step keeps room for itself whose victims do not end."""
+
+LATE_FACTOR = 3
+"""A job earns nothing once this many times its objective has passed."""
+
+
+@dataclass(slots=True)
+class _Kept:
+    """Wait for victims to end.
+
+    Attributes:
+        placement: Where the step goes then.
+        since_s: When the victims were told.
+    """
+
+    placement: Placement
+    since_s: float
+
+
+class Planner:
+    """Decide over and over; the board's lock is held for each round."""
+
+    def __init__(
+        self,
+        board: Board,
+        *,
+        clock: Clock,
+        config: Callable[[], Configuration | None],
+        start: Callable[[list[tuple[ServerView, RunView]]], None],
+    ) -> None:
+        """Keep the parts.
+
+        Args:
+            board: What is known.
+            clock: Where time comes from.
+            config: Returns the configuration in force.
+            start: Starts runs once their record is in the store.
+        """
+        self._board = board
+        self._clock = clock
+        self._config = config
+        self._start = start
+        self._kept: dict[StepKey, _Kept] = {}
+        self._log = logger.bind(part="planner")
+
+    def plan(self) -> None:
+        """Decide what can be decided now."""
+        board = self._board
+        with board.lock:
+            board.finish_due()
+            board.lose_overdue()
+            board.refresh_rooms()
+            self._protect()
+            self._use_kept_room()
+            wanting = [one for one in self._wanting() if one.state.key not in self._kept]
+            if not wanting:
+                return
+            rooms = [view.room for view in board.servers.values()]
+            for one, placement in choose(wanting, rooms, self._clock.now()):
+                self._act(one, placement)
+
+    def _protect(self) -> None:
+        """Say which running tasks their workspace's guarantee covers."""
+        covered = self._covered()
+        for view in self._board.servers.values():
+            for task, occupant in view.room.occupants.items():
+                occupant.guaranteed = view.runs[task].key.job in covered
+
+    def _covered(self) -> set[str]:
+        """Return the urgent jobs that fit into their workspace's guarantee."""
+        cfg = self._config()
+        if cfg is None:
+            return set()
+        guarantees = {
+            name: workspace.guaranteed_accelerators for name, workspace in cfg.workspaces.items()
+        }
+        views = [view for view in self._board.jobs.values() if not view.phase.final]
+        views.sort(key=lambda view: (view.job.accepted_ms, view.job.id))
+        return guaranteed_jobs(
+            (state for view in views for state in view.steps.values()), guarantees
+        )
+
+    def _wanting(self) -> list[Wanting]:
+        """Return the steps that wait for servers."""
+        covered = self._covered()
+        found = []
+        for view in self._board.jobs.values():
+            if view.phase.final:
+                continue
+            for state in view.steps.values():
+                if self._waits(view, state):
+                    found.append(self._as_wanting(view, state, covered))
+        return found
+
+    def _waits(self, view: JobView, state: StepState) -> bool:
+        """Tell whether a step's turn has come and it has tasks to place."""
+        waiting = len(state.waiting())
+        if not waiting or (state.step.gang and waiting < state.step.count):
+            return False
+        return not state.exhausted and view.is_ready(state)
+
+    def _as_wanting(self, view: JobView, state: StepState, covered: set[str]) -> Wanting:
+        """Describe a step that waits."""
+        now_s = self._clock.now()
+        ready_s = view.ready_s.setdefault(state.key, now_s)
+        due_ms = view.job.due_ms(state.key.occurrence)
+        age_ms = self._clock.wall() * 1000 - due_ms
+        late = age_ms > LATE_FACTOR * view.job.objective_ms() and not view.job.lasts
+        return Wanting(state, ready_s, guaranteed=view.job.id in covered, late=late)
+
+    def _act(self, one: Wanting, placement: Placement) -> None:
+        """Start a step, or stop its victims and keep the room for it."""
+        state = one.state
+        self._log.bind(
+            step=str(state.key),
+            servers=sorted(set(placement.places.values())),
+            victims=sorted(placement.victims),
+            lost_core_s=round(placement.cost_core_s, 1),
+            waited_ms=int((self._clock.now() - one.due_s) * 1000),
+            guaranteed=one.guaranteed,
+        ).info("A step gets servers.")
+        if not placement.victims:
+            self._assign(state, placement)
+            return
+        self._kept[state.key] = _Kept(placement, self._clock.now())
+        for group in sorted(placement.victims):
+            self._board.stop_group(group, f"{state.key} needs its room")
+
+    def _assign(self, state: StepState, placement: Placement) -> None:
+        """Turn reserved room into runs."""
+        self._release(state.key)
+        self._start(self._board.assign(state, placement.places))
+
+    def _use_kept_room(self) -> None:
+        """Start the steps whose victims have ended; drop what can't work out."""
+        for key, kept in list(self._kept.items()):
+            view = self._board.jobs.get(key.job)
+            state = view.steps.get(key) if view else None
+            waiting = set(state.waiting()) if state else set()
+            gone = view is None or view.phase.final or not set(kept.placement.places) <= waiting
+            if gone or not self._still_open(kept):
+                self._release(key)
+            elif self._has_room(state, kept.placement):
+                self._assign(state, kept.placement)
+            elif self._clock.now() - kept.since_s > VICTIM_WAIT_S:
+                self._log.bind(step=str(key)).warning("Victims did not end in time.")
+                self._release(key)
+
+    def _still_open(self, kept: _Kept) -> bool:
+        """Tell whether all chosen servers can still take work."""
+        servers = self._board.servers
+        return all(
+            life in servers and servers[life].room.open for life in kept.placement.places.values()
+        )
+
+    def _has_room(self, state: StepState, placement: Placement) -> bool:
+        """Tell whether the step fits beside what is still there."""
+        for life in set(placement.places.values()):
+            room = self._board.servers[life].room
+            n = sum(server == life for server in placement.places.values())
+            if state.step.room.times_in(room.free(beside=str(state.key))) < n:
+                return False
+        return True
+
+    def _release(self, key: StepKey) -> None:
+        """Drop a step's reservation."""
+        self._kept.pop(key, None)
+        for view in self._board.servers.values():
+            view.room.reserved.pop(str(key), None)
--- /dev/null
+++ b/libs/coordination/src/catkinknot/coordination/_recorder.py
@@ -0,0 +1,149 @@
+"""Write the leader's records, each batch before what depends on it."""
+
+import json
+import threading
+from collections.abc import Callable
+
+from loguru import logger
+
+from catkinknot.model import Clock
+
+from ._store import JOBS, RUNS, Fence, Record, Store
+from .exceptions import FencedError, OutOfSequenceError, StoreRefusedError, StoreSilentError
+
+__all__ = ["LEAD_KEY", "PRODUCER", "Recorder", "lead_mark"]
+
+PRODUCER = "leader"
+LEAD_KEY = "/lead"
+
+MARK_S = 0.5
+"""Time between the leader's marks."""
+
+RETRY_S = 0.05
+"""Pause before an append that failed is sent again."""
+
+
+def lead_mark(epoch: int, instance: str, nonce: str) -> Record:
+    """Return the record that says who leads."""
+    body = {"epoch": epoch, "instance": instance, "nonce": nonce}
+    return Record(LEAD_KEY, json.dumps(body, separators=(",", ":")).encode())
+
+
+class Recorder:
+    """Append what is dirty, one batch at a time.
+
+    A key that changes again before its batch is sent is written once. What
+    waits for a batch runs on the recorder's thread when the store has it.
+
+    Attributes:
+        confirmed_s: When the last append that the store accepted was sent.
+        fenced: Whether another leader has taken over.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        *,
+        epoch: int,
+        instance: str,
+        nonce: str,
+        first_numbers: dict[str, int],
+        confirmed_s: float,
+        clock: Clock,
+    ) -> None:
+        """Begin after a claim that was accepted.
+
+        Args:
+            store: The store.
+            epoch: The epoch that was claimed.
+            instance: This instance.
+            nonce: What tells this claim from others.
+            first_numbers: Next number in the sequence, by topic.
+            confirmed_s: When the claim was sent.
+            clock: Where time comes from.
+        """
+        self._store = store
+        self._epoch = epoch
+        self._mark = lead_mark(epoch, instance, nonce)
+        self._numbers = dict(first_numbers)
+        self._clock = clock
+        self._cond = threading.Condition()
+        self._dirty: dict[str, dict[str, bytes]] = {RUNS: {}, JOBS: {}}
+        self._after: list[Callable[[], None]] = []
+        self._marked_s = confirmed_s
+        self._log = logger.bind(part="recorder", epoch=epoch)
+        self.confirmed_s = confirmed_s
+        self.fenced = False
+
+    def put(self, topic: str, key: str, value: bytes) -> None:
+        """Have a record written with the next batch."""
+        with self._cond:
+            self._dirty[topic][key] = value
+            self._cond.notify()
+
+    def after(self, action: Callable[[], None]) -> None:
+        """Run an action once all that was put before is in the store."""
+        with self._cond:
+            self._after.append(action)
+            self._cond.notify()
+
+    def run(self, stopped: threading.Event) -> None:
+        """Write until stopped or fenced."""
+        while not stopped.is_set() and not self.fenced:
+            with self._cond:
+                idle_s = self._marked_s + MARK_S - self._clock.now()
+                if not self._pending() and idle_s > 0:
+                    self._cond.wait(idle_s)
+            self.flush(stopped)
+
+    def flush(self, stopped: threading.Event) -> None:
+        """Write what is dirty now, then run what waited for it."""
+        with self._cond:
+            batches = {topic: dict(keys) for topic, keys in self._dirty.items()}
+            after, self._after = self._after, []
+            for keys in self._dirty.values():
+                keys.clear()
+        if self._clock.now() - self._marked_s >= MARK_S:
+            batches[JOBS][self._mark.key] = self._mark.value
+        for topic, keys in batches.items():
+            if topic == JOBS and not keys:
+                continue
+            records = [Record(key, value) for key, value in keys.items()]
+            if records and not self._append(topic, records, stopped):
+                return
+            if topic == RUNS:
+                for action in after:
+                    action()
+
+    def _pending(self) -> bool:
+        """Tell whether there is anything to write or to run."""
+        return bool(self._after or any(self._dirty.values()))
+
+    def _append(self, topic: str, records: list[Record], stopped: threading.Event) -> bool:
+        """Append one batch, again and again until its fate is known."""
+        fence = Fence(PRODUCER, self._epoch, self._numbers[topic])
+        while not stopped.is_set():
+            sent_s = self._clock.now()
+            try:
+                self._store.append(topic, records, fence=fence)
+            except FencedError:
+                self.fenced = True
+                self._log.warning("Another instance leads.")
+                return False
+            except OutOfSequenceError as exc:
+                if exc.expected != fence.number + 1:
+                    self.fenced = True
+                    self._log.bind(expected=exc.expected, sent=fence.number).error(
+                        "Another instance writes under this epoch."
+                    )
+                    return False
+            except (StoreRefusedError, StoreSilentError) as exc:
+                self._log.bind(topic=topic, reason=exc.message).debug("An append is sent again.")
+                stopped.wait(RETRY_S)
+                continue
+            self._numbers[topic] += 1
+            self.confirmed_s = sent_s
+            if any(record.key == LEAD_KEY for record in records):
+                self._marked_s = sent_s
+            return True
+        return False
--- /dev/null
+++ b/libs/coordination/src/catkinknot/coordination/_tail.py
@@ -0,0 +1,123 @@
+"""Follow a topic of the store."""
+
+import threading
+from collections.abc import Callable
+
+from loguru import logger
+
+from catkinknot.model import Clock
+
+from ._store import Record, Store
+from .exceptions import HistoryGoneError, StoreError
+
+__all__ = ["Tail"]
+
+RETRY_S = 0.1
+"""Pause after a read that failed."""
+
+
+class Tail:
+    """Read a keyed topic record by record, and from its newest after a gap.
+
+    Attributes:
+        next_offset: Where the next read begins, None before the first one.
+        heard_s: When the store last answered a read.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        topic: str,
+        *,
+        clock: Clock,
+        on_snapshot: Callable[[dict[str, bytes]], None],
+        on_records: Callable[[tuple[Record, ...]], None],
+        wait_s: float,
+        pause_s: float = 0.0,
+    ) -> None:
+        """Begin with nothing read.
+
+        Args:
+            store: The store.
+            topic: What to follow.
+            clock: Where time comes from.
+            on_snapshot: Takes the newest record of each key.
+            on_records: Takes records as they come.
+            wait_s: How long a read waits for a record.
+            pause_s: Pause between reads, to take several records at once.
+        """
+        self._store = store
+        self._topic = topic
+        self._clock = clock
+        self._on_snapshot = on_snapshot
+        self._on_records = on_records
+        self._wait_s = wait_s
+        self._pause_s = pause_s
+        self._lock = threading.Lock()
+        self._log = logger.bind(part="tail", topic=topic)
+        self._reachable = True
+        self.next_offset: int | None = None
+        self.heard_s = clock.now()
+
+    def catch_up(self) -> None:
+        """Read all that the topic holds now; raises a `StoreError`."""
+        while self.step(wait_s=0.0):
+            pass
+
+    def step(self, *, wait_s: float) -> bool:
+        """Read once; raises a `StoreError`.
+
+        Args:
+            wait_s: How long the store may wait for a record.
+
+        Returns:
+            Whether records came.
+        """
+        with self._lock:
+            start = self.next_offset
+        if start is None:
+            self._restart()
+            return True
+        try:
+            batch = self._store.read(self._topic, start, wait_s=wait_s)
+        except HistoryGoneError:
+            self._log.bind(offset=start).warning("The history is gone; reading the newest.")
+            self._restart()
+            return True
+        self.heard_s = self._clock.now()
+        with self._lock:
+            if self.next_offset != start:
+                return True
+            self._on_records(batch.records)
+            self.next_offset = batch.next_offset
+        return bool(batch.records)
+
+    def follow(self, stopped: threading.Event) -> None:
+        """Read until told to stop."""
+        while not stopped.is_set():
+            try:
+                self.step(wait_s=self._wait_s)
+                self._note(True, "")
+                if self._pause_s:
+                    stopped.wait(self._pause_s)
+            except StoreError as exc:
+                self._note(False, exc.message)
+                stopped.wait(RETRY_S)
+
+    def _restart(self) -> None:
+        """Read the newest of every key."""
+        snapshot = self._store.newest(self._topic)
+        self.heard_s = self._clock.now()
+        with self._lock:
+            self._on_snapshot(snapshot.records)
+            self.next_offset = snapshot.next_offset
+
+    def _note(self, reachable: bool, reason: str) -> None:
+        """Log when the store is lost or regained."""
+        if reachable == self._reachable:
+            return
+        self._reachable = reachable
+        if reachable:
+            self._log.info("The store answers again.")
+        else:
+            self._log.bind(reason=reason).warning("The store does not answer.")
--- /dev/null
+++ b/libs/jobs/src/catkinknot/jobs/__init__.py
@@ -0,0 +1,45 @@
+"""Describe jobs of steps and tasks, and know the state of each."""
+
+from ._book import JobBook, JobEntry
+from ._config import Configuration, Limits, Queue, Service, Workspace, select_queue
+from ._records import (
+    CANCEL_SUFFIX,
+    PHASE_SUFFIX,
+    read_job,
+    read_step,
+    read_step_key,
+    write_job,
+    write_step,
+)
+from ._spec import Advice, Job, Policy, Resources, Schedule, Step
+from ._state import Ended, JobPhase, StepKey, StepState, TaskPhase, TaskState
+
+__all__ = [
+    "CANCEL_SUFFIX",
+    "PHASE_SUFFIX",
+    "Advice",
+    "Configuration",
+    "Ended",
+    "Job",
+    "JobBook",
+    "JobEntry",
+    "JobPhase",
+    "Limits",
+    "Policy",
+    "Queue",
+    "Resources",
+    "Schedule",
+    "Service",
+    "Step",
+    "StepKey",
+    "StepState",
+    "TaskPhase",
+    "TaskState",
+    "Workspace",
+    "read_job",
+    "read_step",
+    "read_step_key",
+    "select_queue",
+    "write_job",
+    "write_step",
+]
--- /dev/null
+++ b/libs/jobs/src/catkinknot/jobs/_records.py
@@ -0,0 +1,90 @@
+"""Write jobs and their state as records, and read them back."""
+
+import json
+
+from pydantic import TypeAdapter, ValidationError
+
+from catkinknot.model import ResultCode
+from catkinknot.model.exceptions import BadInputError
+
+from ._spec import Job
+from ._state import StepKey, StepState, TaskPhase, TaskState
+
+__all__ = [
+    "CANCEL_SUFFIX",
+    "PHASE_SUFFIX",
+    "read_job",
+    "read_step",
+    "read_step_key",
+    "write_job",
+    "write_step",
+]
+
+CANCEL_SUFFIX = "/c"
+PHASE_SUFFIX = "/s"
+
+_JOB = TypeAdapter(Job)
+
+
+def write_job(job: Job) -> bytes:
+    """Return a job as the value of its record."""
+    return _JOB.dump_json(job, exclude_defaults=True)
+
+
+def read_job(raw: bytes) -> Job:
+    """Return the job of a record, or raise `BadInputError`."""
+    try:
+        return _JOB.validate_json(raw)
+    except ValidationError as exc:
+        raise BadInputError(ResultCode.CORRUPT_RECORD, [str(exc)]) from exc
+
+
+def write_step(state: StepState) -> bytes:
+    """Return the state of a step; an untouched task is 0, a finished one 1."""
+    rows: list[int | list[int | str]] = []
+    for task in state.tasks:
+        if task.phase is TaskPhase.DONE:
+            rows.append(1)
+        elif task == TaskState():
+            rows.append(0)
+        else:
+            row = [task.run, task.server, task.failures, task.checkpoint, task.failed_run]
+            rows.append(row)
+    return json.dumps(rows, separators=(",", ":")).encode()
+
+
+def read_step(raw: bytes, count: int) -> list[TaskState]:
+    """Return the tasks of a step's record, or raise `BadInputError`.
+
+    Args:
+        raw: The value of the record.
+        count: How many tasks the step has.
+    """
+    try:
+        rows = json.loads(raw)
+        tasks = [_read_task(row) for row in rows]
+    except (ValueError, TypeError) as exc:
+        raise BadInputError(ResultCode.CORRUPT_RECORD, [str(exc)]) from exc
+    if len(tasks) != count:
+        raise BadInputError(ResultCode.CORRUPT_RECORD, [f"{len(tasks)} tasks, not {count}"])
+    return tasks
+
+
+def read_step_key(text: str) -> StepKey:
+    """Return the step that a record's key names, or raise `BadInputError`."""
+    parts = text.split(".")
+    if len(parts) != 3 or not (parts[1].isdigit() and parts[2].isdigit()):
+        raise BadInputError(ResultCode.CORRUPT_RECORD, [f"{text!r} names no step"])
+    return StepKey(parts[0], int(parts[1]), int(parts[2]))
+
+
+def _read_task(row: int | list) -> TaskState:
+    """Return one task of a step's record."""
+    if row == 0:
+        return TaskState()
+    if row == 1:
+        return TaskState(phase=TaskPhase.DONE)
+    run, server, failures, checkpoint, failed_run = row
+    phase = TaskPhase.ASSIGNED if server else TaskPhase.WAITING
+    counted = int(failures), str(checkpoint), int(failed_run)
+    return TaskState(phase, int(run), str(server), *counted)
--- /dev/null
+++ b/libs/packing/src/catkinknot/packing/_plan.py
@@ -0,0 +1,161 @@
+"""Decide which waiting steps get servers next."""
+
+from collections import defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+
+from catkinknot.jobs import Resources, StepState
+
+from ._place import Placement, Request, place, place_by_eviction
+from ._room import Occupant, Room
+
+__all__ = ["Wanting", "choose", "guaranteed_jobs"]
+
+
+@dataclass(slots=True)
+class Wanting:
+    """Wait for servers.
+
+    Attributes:
+        state: The step and its tasks.
+        due_s: When it became ready, on the leader's clock.
+        guaranteed: Whether its workspace's guarantee covers it.
+        late: Whether it can earn its caller nothing any more.
+        suspects: Servers it should not use.
+    """
+
+    state: StepState
+    due_s: float
+    guaranteed: bool = False
+    late: bool = False
+    suspects: frozenset[str] = frozenset()
+
+    @property
+    def order(self) -> tuple:
+        """Sort the first to be served to the front."""
+        policy = self.state.job.policy
+        return (not self.guaranteed, self.late, policy.priority, self.due_s, str(self.state.key))
+
+
+def guaranteed_jobs(states: Iterable[StepState], guarantees: dict[str, int]) -> set[str]:
+    """Return the jobs of priority 0 that their workspace's guarantee covers.
+
+    Args:
+        states: The steps of jobs that have not ended, oldest job first.
+        guarantees: Guaranteed accelerators by workspace.
+    """
+    widest: dict[str, tuple[str, int]] = {}
+    for state in states:
+        if state.job.policy.priority:
+            continue
+        need = state.step.count * state.step.need.accelerators
+        known = widest.get(state.job.id, ("", 0))[1]
+        widest[state.job.id] = (state.job.workspace, max(need, known))
+    left = dict(guarantees)
+    covered = set()
+    for job, (workspace, need) in widest.items():
+        if need <= left.get(workspace, 0):
+            left[workspace] -= need
+            covered.add(job)
+    return covered
+
+
+def choose(
+    wanting: Iterable[Wanting], rooms: list[Room], now_s: float
+) -> list[tuple[Wanting, Placement]]:
+    """Give servers to waiting steps, the most urgent first.
+
+    Room that is given, or kept for a step whose victims have yet to end, is
+    noted in the rooms' reservations at once; the caller turns it into
+    occupants or drops it.
+
+    Args:
+        wanting: What waits.
+        rooms: All servers.
+        now_s: The present time.
+    """
+    chosen = []
+    for one in sorted(wanting, key=lambda w: w.order):
+        found = _serve(one, rooms, now_s)
+        if found is None:
+            continue
+        _reserve(one.state, found, rooms)
+        chosen.append((one, found))
+    return chosen
+
+
+def _serve(one: Wanting, rooms: list[Room], now_s: float) -> Placement | None:
+    """Find servers for one step, by stopping others where it may."""
+    for req in _requests(one, rooms, now_s):
+        found = place(req)
+        if found is not None:
+            return found
+        if one.late:
+            continue
+        found = place_by_eviction(req, _groups(rooms))
+        if found is not None:
+            return found
+    return None
+
+
+def _requests(one: Wanting, rooms: list[Room], now_s: float) -> list[Request]:
+    """Return what to ask for, the best way first."""
+    state, step, policy = one.state, one.state.step, one.state.job.policy
+    usable = tuple(
+        room
+        for room in rooms
+        if room.takes(policy.service, step) and room.server not in one.suspects
+    )
+    base = Request(
+        step=str(state.key),
+        need=step.room,
+        indexes=tuple(state.waiting()),
+        service=policy.service,
+        priority=policy.priority,
+        guaranteed=one.guaranteed,
+        whole=step.gang,
+        max_per_server=step.max_per_server,
+        usable=usable,
+    )
+    patience_s = step.estimate_ms / 1000
+    if step.gang and step.one_rack and step.count > 1:
+        best = replace(base, one_rack=True)
+        return [best] if _fits_a_rack(best) and now_s - one.due_s < patience_s else [best, base]
+    if step.data_rack and any(room.rack == step.data_rack for room in usable):
+        near = tuple(room for room in usable if room.rack == step.data_rack)
+        best = replace(base, usable=near)
+        return [best] if now_s - one.due_s < patience_s else [best, base]
+    return [base]
+
+
+def _fits_a_rack(req: Request) -> bool:
+    """Tell whether some rack could ever take the whole gang."""
+    sums: dict[str, int] = defaultdict(int)
+    for room in req.usable:
+        slots = req.need.times_in(room.capacity)
+        if req.max_per_server:
+            slots = min(slots, req.max_per_server)
+        sums[room.rack] += slots
+    return max(sums.values(), default=0) >= len(req.indexes)
+
+
+def _groups(rooms: list[Room]) -> dict[str, list[tuple[Room, Occupant]]]:
+    """Return everything that runs, by what is stopped together."""
+    groups: dict[str, list[tuple[Room, Occupant]]] = defaultdict(list)
+    for room in rooms:
+        for occupant in room.occupants.values():
+            groups[occupant.group].append((room, occupant))
+    return groups
+
+
+def _reserve(state: StepState, found: Placement, rooms: list[Room]) -> None:
+    """Keep the chosen room for the step."""
+    counts: dict[str, int] = defaultdict(int)
+    for server in found.places.values():
+        counts[server] += 1
+    need = state.step.room
+    for room in rooms:
+        n = counts.get(room.server, 0)
+        if n:
+            kept = Resources(need.cpu_milli * n, need.memory_mb * n, need.accelerators * n)
+            room.reserved[str(state.key)] = kept
--- a/tools/build_binary.py
+++ b/tools/build_binary.py
@@ -40,7 +40,7 @@
         return
     mounts = [line.split() for line in open("/proc/mounts")]
     backed = {{row[1] for row in mounts if row[2] in MEMORY}}
-    for folder in (f"/run/user/{{os.getuid()}}", "/run", "/tmp", "/dev/shm"):
+    for folder in (f"/run/user/{{os.getuid()}}", "/run", "/tmp"):
         if folder in backed and os.access(folder, os.W_OK):
             yield folder
 
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -10,7 +10,7 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
-_FOLDERS = ("libs/*/tests", "app/tests", "standins/tests", "tests")
+_FOLDERS = ("libs/*/tests", "platform/tests", "app/tests", "standins/tests", "tests")
 
 
 def main() -> int:
