Let the leases of silent servers run out, and overlook no job in a take-over

A renewal without an answer moved the end of the lease on, so the work of a server that had gone never moved; a job that the ledger told of while a new leader was reading went to nobody. Ruled out: placement (there was room for twelve such tasks), the readiness of the step. Change: a silent server is asked without a new lease; a leader takes every job once more when changes reach it. Stand-ins of the keyed store and of task servers, and a harness that steps leaders on one thread.

--- a/app/src/catkinknot/node/_node.py
+++ b/app/src/catkinknot/node/_node.py
@@ -42,6 +42,9 @@
 FOLLOW_PAUSE_S = 0.02
 """Pause between reads of the ledger, to take several records at once."""
 
+RESTART_S = 0.2
+"""Pause before a part that broke begins again."""
+
 CALLER_THREADS = 20
 IDLE_S = 15.0
 DRAIN_S = 1.5
@@ -187,12 +190,22 @@
             leader.take_changes(dict.fromkeys(changed))
 
 
+def _keep_running(part: Callable[[threading.Event], None], stopped: threading.Event) -> None:
+    """Run a part, and begin again after a fault in it."""
+    while not stopped.is_set():
+        try:
+            part(stopped)
+        except Exception:
+            logger.bind(part="main").exception("A part broke and begins again.")
+            stopped.wait(RESTART_S)
+
+
 @contextmanager
 def _threads(parts: dict[str, Callable[[threading.Event], None]]):
     """Run parts on threads of their own until the context closes."""
     stopped = threading.Event()
     threads = [
-        threading.Thread(target=part, args=(stopped,), name=name, daemon=True)
+        threading.Thread(target=_keep_running, args=(part, stopped), name=name, daemon=True)
         for name, part in parts.items()
     ]
     for thread in threads:
--- a/libs/coordination/src/catkinknot/coordination/_election.py
+++ b/libs/coordination/src/catkinknot/coordination/_election.py
@@ -145,6 +145,8 @@
         try:
             with lead(leader):
                 self.leading = leader
+                # Changes that came during the take-over went to nobody.
+                leader.take_all()
                 while not stopped.wait(LOOK_S) and not leader.deposed:
                     pass
         except StoreError as exc:
--- a/libs/coordination/src/catkinknot/coordination/_leader.py
+++ b/libs/coordination/src/catkinknot/coordination/_leader.py
@@ -25,7 +25,7 @@
 from ._servers import ServerCalls, ServerListing
 from ._store import RUNS, Store
 from ._views import RunView, ServerView
-from ._watch import watch_server
+from ._watch import Watcher
 from .exceptions import StoreError
 
 __all__ = ["CONFIRMED_S", "Claim", "Leader", "lead"]
@@ -77,7 +77,6 @@
         self._store = store
         self._book = book
         self._listing = listing
-        self._calls = calls
         self._clock = clock
         self._log = logger.bind(part="leader", epoch=claim.epoch)
         self.stopped = threading.Event()
@@ -105,6 +104,15 @@
             fence_s=clock.now(),
             inherited_s=CONFIRMED_S,
         )
+        self._watcher = Watcher(
+            self.board,
+            calls=calls,
+            recorder=self.recorder,
+            token=claim.epoch,
+            clock=clock,
+            lease_end=self._lease_end,
+            on_fenced=self.depose,
+        )
         self._planner = Planner(self.board, clock=clock, config=config, start=self._start_runs)
         self._threads: list[threading.Thread] = []
 
@@ -130,6 +138,10 @@
             else:
                 self.board.take_entry(entry, {})
 
+    def take_all(self) -> None:
+        """Take every job that the ledger holds; known ones change nothing."""
+        self.take_changes(entry.job.id for entry in self._book.entries())
+
     @property
     def deposed(self) -> bool:
         """Whether this leadership is over."""
@@ -178,14 +190,13 @@
         thread.start()
 
     def _guard(self, target: Callable[..., None], *args: object) -> None:
-        """End the leadership when one of its parts breaks."""
+        """End the leadership when one of its parts breaks or ends."""
         try:
             target(*args)
         except Exception:
             self._log.exception("A part of the leader broke.")
         finally:
-            if target == self.recorder.run:
-                self.depose()
+            self.depose()
 
     def _decide(self) -> None:
         """Decide whenever something has changed."""
@@ -211,21 +222,15 @@
 
         def watch() -> None:
             try:
-                watch_server(
-                    self.board,
-                    view,
-                    calls=self._calls,
-                    recorder=self.recorder,
-                    token=self._claim.epoch,
-                    clock=self._clock,
-                    lease_end=self._lease_end,
-                    on_fenced=self.depose,
-                    stopped=self.stopped,
-                )
+                self._watcher.watch(view, self.stopped)
+            except Exception:
+                self._log.bind(server=view.life).exception("Holding a server broke.")
             finally:
                 view.watched = False
 
-        self._spawn(watch, f"watch-{view.life}")
+        thread = threading.Thread(target=watch, name=f"watch-{view.life}", daemon=True)
+        self._threads.append(thread)
+        thread.start()
 
     def _start_runs(self, runs: list[tuple[ServerView, RunView]]) -> None:
         """Send starts once the store has their record."""
--- a/libs/coordination/src/catkinknot/coordination/_orders.py
+++ b/libs/coordination/src/catkinknot/coordination/_orders.py
@@ -2,7 +2,7 @@
 
 import threading
 from collections.abc import Callable
-from concurrent.futures import ThreadPoolExecutor
+from concurrent.futures import Executor, ThreadPoolExecutor
 
 from loguru import logger
 
@@ -42,6 +42,7 @@
         lease_end: Callable[[], float],
         on_fenced: Callable[[], None],
         stopped: threading.Event,
+        pool: Executor | None = None,
     ) -> None:
         """Keep the parts.
 
@@ -52,6 +53,7 @@
             lease_end: Returns the latest time to which a lease may be granted.
             on_fenced: Told when a server has heard from a later leader.
             stopped: Set when this leader is done.
+            pool: Runs the orders; threads of its own by default.
         """
         self._calls = calls
         self._token = token
@@ -59,7 +61,7 @@
         self._lease_end = lease_end
         self._on_fenced = on_fenced
         self._stopped = stopped
-        self._pool = ThreadPoolExecutor(SENDERS, thread_name_prefix="order")
+        self._pool = pool or ThreadPoolExecutor(SENDERS, thread_name_prefix="order")
         self._log = logger.bind(part="orders", epoch=token)
 
     def close(self) -> None:
--- a/libs/coordination/src/catkinknot/coordination/_watch.py
+++ b/libs/coordination/src/catkinknot/coordination/_watch.py
@@ -1,4 +1,4 @@
-"""Renew the lease of one server while it has work, and hear of its ends."""
+"""Renew the leases of servers while they have work, and hear of their ends."""
 
 import threading
 from collections.abc import Callable
@@ -11,7 +11,7 @@
 from ._servers import HoldAnswer, OrderOutcome, ServerCalls
 from ._views import ServerView
 
-__all__ = ["watch_server"]
+__all__ = ["Watcher"]
 
 LONG_WAIT_S = 1.9
 """How long a server may wait for an end before it answers."""
@@ -26,44 +26,96 @@
 """Pause after a call without an answer."""
 
 
-def watch_server(
-    board: Board,
-    view: ServerView,
-    *,
-    calls: ServerCalls,
-    recorder: Recorder,
-    token: int,
-    clock: Clock,
-    lease_end: Callable[[], float],
-    on_fenced: Callable[[], None],
-    stopped: threading.Event,
-) -> None:
-    """Hold a server until it has nothing of ours any more.
-
-    Ends are confirmed to the server only once the store has them.
-    """
-    while not stopped.is_set():
-        with board.lock:
-            if not _needed(view):
-                view.watched = False
-                return
-            now_s = clock.now()
-            end_s = min(now_s + LEASE_S, lease_end())
-            until_ms = view.until_ms(end_s, now_s) if end_s > now_s else 0
-            wait_s = _wait_s(view)
+class Watcher:
+    """Hold servers; ends are confirmed to them only once the store has them."""
+
+    def __init__(
+        self,
+        board: Board,
+        *,
+        calls: ServerCalls,
+        recorder: Recorder,
+        token: int,
+        clock: Clock,
+        lease_end: Callable[[], float],
+        on_fenced: Callable[[], None],
+    ) -> None:
+        """Keep the parts.
+
+        Args:
+            board: What the leader knows.
+            calls: Reaches the servers.
+            recorder: Writes what must last.
+            token: The leader's epoch.
+            clock: Where time comes from.
+            lease_end: Returns the latest time to which a lease may be granted.
+            on_fenced: Told when a server has heard from a later leader.
+        """
+        self._board = board
+        self._calls = calls
+        self._recorder = recorder
+        self._token = token
+        self._clock = clock
+        self._lease_end = lease_end
+        self._on_fenced = on_fenced
+
+    def watch(self, view: ServerView, stopped: threading.Event) -> None:
+        """Hold a server until it has nothing of ours any more."""
+        while not stopped.is_set():
+            with self._board.lock:
+                if not _needed(view):
+                    view.watched = False
+                    return
+                wait_s = _wait_s(view)
+            answer = self.hold(view, wait_s)
+            if answer.reply.outcome is not OrderOutcome.DONE:
+                stopped.wait(RETRY_S)
+                continue
+            recorded = threading.Event()
+            if self.confirm_later(view, answer, recorded) and not recorded.wait(RECORD_WAIT_S):
+                stopped.wait(RETRY_S)
+
+    def hold(self, view: ServerView, wait_s: float) -> HoldAnswer:
+        """Renew a server's lease once, and take what it says.
+
+        A server that does not answer is asked without a new lease: a call
+        that got no answer may still be carried out, and its lease would never
+        run out.
+
+        Args:
+            view: The server.
+            wait_s: How long it may wait for an end.
+        """
+        with self._board.lock:
+            now_s = self._clock.now()
+            end_s = min(now_s + LEASE_S, self._lease_end())
+            renew = end_s > now_s and view.silent_since_s is None
+            until_ms = view.until_ms(end_s, now_s) if renew else 0
             seen_end = view.seen_end
             listing = view.listing
-        answer = calls.hold(
-            listing, token=token, seen_end=seen_end, until_ms=until_ms, wait_s=wait_s
+        answer = self._calls.hold(
+            listing, token=self._token, seen_end=seen_end, until_ms=until_ms, wait_s=wait_s
         )
         if answer.reply.outcome is OrderOutcome.FENCED:
-            on_fenced()
-            return
-        board.on_hold(view, answer, now_s)
-        if answer.reply.outcome is not OrderOutcome.DONE:
-            stopped.wait(RETRY_S)
-            continue
-        _confirm_ends(view, answer, recorder, stopped)
+            self._on_fenced()
+        else:
+            self._board.on_hold(view, answer, now_s)
+        return answer
+
+    def confirm_later(
+        self, view: ServerView, answer: HoldAnswer, recorded: threading.Event
+    ) -> bool:
+        """Let the server forget ends once they are recorded; return whether there are any."""
+        if not answer.ended:
+            return False
+        last = max(row.number for row in answer.ended)
+
+        def confirm() -> None:
+            view.seen_end = max(view.seen_end, last)
+            recorded.set()
+
+        self._recorder.after(confirm)
+        return True
 
 
 def _needed(view: ServerView) -> bool:
@@ -77,18 +129,3 @@
         return 0.0
     open_orders = any(run.settled_s is None or run.stopping for run in view.runs.values())
     return SHORT_WAIT_S if open_orders else LONG_WAIT_S
-
-
-def _confirm_ends(
-    view: ServerView, answer: HoldAnswer, recorder: Recorder, stopped: threading.Event
-) -> None:
-    """Let the server forget ends once they are recorded."""
-    if not answer.ended:
-        return
-    last = max(row.number for row in answer.ended)
-    recorded = threading.Event()
-    recorder.after(recorded.set)
-    if recorded.wait(RECORD_WAIT_S):
-        view.seen_end = max(view.seen_end, last)
-    else:
-        stopped.wait(RETRY_S)
--- /dev/null
+++ b/libs/coordination/tests/stepping.py
@@ -0,0 +1,219 @@
+"""Drive leaders step by step, on one thread and a stepped clock."""
+
+import threading
+from concurrent.futures import Executor, Future
+
+from catkinknot.coordination import JOBS, LEAD_KEY, Claim, Desk, Tail
+from catkinknot.coordination._board import Board
+from catkinknot.coordination._election import Election
+from catkinknot.coordination._leader import CONFIRMED_S, Leader
+from catkinknot.jobs import (
+    Configuration,
+    Job,
+    JobBook,
+    JobPhase,
+    Policy,
+    Queue,
+    Resources,
+    Step,
+    Workspace,
+)
+from catkinknot.model import SteppedClock
+from catkinknot_standins import KeyedStore, StoreView, TaskServers
+
+CAPACITY = Resources(64_000, 131_072, 8)
+STEP_S = 0.1
+START_S = 100.0
+
+
+def job(job_id: str, *steps: Step, priority: int = 1, workspace: str = "press", **policy) -> Job:
+    """Return a job of a queue named by its priority."""
+    made = Policy(f"queue-{priority}", "render", priority=priority, max_attempts=3, **policy)
+    accepted_ms = int(START_S * 1000)
+    return Job(job_id, workspace, made, "work", steps or (step(),), accepted_ms)
+
+
+def step(count: int = 1, *, cpu: int = 1000, memory: int = 1000, gpu: int = 1, **extra) -> Step:
+    """Return a step of small tasks."""
+    return Step(count, Resources(cpu, memory, gpu), estimate_ms=2000, **extra)
+
+
+class Inline(Executor):
+    """Run each order when it is handed in."""
+
+    def submit(self, fn, /, *args, **kwargs) -> Future:
+        """Run a call now."""
+        done: Future = Future()
+        done.set_result(fn(*args, **kwargs))
+        return done
+
+
+class World:
+    """Hold a store, servers and the time."""
+
+    def __init__(self, servers: int = 2, *, work_s: float = 2.0) -> None:
+        """Begin with some servers, all in one rack."""
+        self.clock = SteppedClock(START_S)
+        self.store = KeyedStore()
+        self.servers = TaskServers(self.clock)
+        self.config = Configuration(
+            1,
+            queues=tuple(
+                Queue("host", f"/{n}/", Policy(f"queue-{n}", "render", priority=n))
+                for n in (0, 1, 2)
+            ),
+            workspaces={
+                "press": Workspace("press", frozenset({"key"}), guaranteed_accelerators=8),
+                "other": Workspace("other", frozenset({"key-2"}), guaranteed_accelerators=8),
+            },
+        )
+        for n in range(servers):
+            self.servers.add(f"s{n}", CAPACITY, work_s=work_s)
+
+    def running(self) -> dict[str, int]:
+        """Return what runs anywhere, and fail on a task that runs twice."""
+        found: dict[str, int] = {}
+        for server in self.servers.all():
+            for task, run in server.running().items():
+                if task in found:
+                    raise AssertionError(f"{task} runs twice at {self.clock.now():.1f}")
+                found[task] = run
+        return found
+
+
+class Instance:
+    """Follow, claim and lead, one step at a time."""
+
+    def __init__(self, world: World, name: str) -> None:
+        """Begin as a follower."""
+        self.world = world
+        self.store = StoreView(world.store)
+        self.book = JobBook()
+        self.tail = Tail(
+            self.store,
+            JOBS,
+            clock=world.clock,
+            on_snapshot=self._take_snapshot,
+            on_records=self._take_records,
+            wait_s=0.0,
+        )
+        self.election = Election(
+            name,
+            store=self.store,
+            tail=self.tail,
+            clock=world.clock,
+            make_leader=self._make_leader,
+        )
+        self.desk = Desk(
+            store=self.store,
+            tail=self.tail,
+            book=self.book,
+            config=lambda: world.config,
+            clock=world.clock,
+        )
+        self.leader: Leader | None = None
+        self.never = threading.Event()
+        self.tail.catch_up()
+
+    @property
+    def board(self) -> Board:
+        """What the leader knows."""
+        return self.leader.board
+
+    def lead(self) -> None:
+        """Claim and take over, whatever the marks say."""
+        self.tail.catch_up()
+        self.election._marked_s = float("-inf")
+        claim = self.election._claim()
+        assert claim is not None
+        self.take_over(claim)
+
+    def take_over(self, claim: Claim) -> None:
+        """Take over without threads."""
+        self.leader = self.prepare(claim)
+        self.leader.begin()
+        self.leader.take_all()
+
+    def prepare(self, claim: Claim) -> Leader:
+        """Return a leader that runs nothing by itself."""
+        leader = self._make_leader(claim)
+        leader._spawn = lambda *args: None
+        leader._orders._pool = Inline()
+        return leader
+
+    def step(self) -> None:
+        """Do once what an instance's threads do all the time."""
+        if not self.store.faults.refuse:
+            self.tail.catch_up()
+        if self.leader is None or self.leader.deposed:
+            return
+        if not self.store.faults.refuse:
+            self.board.take_listing(self.leader._listing.list().values())
+        self.leader._planner.plan()
+        self._flush()
+        for view in list(self.board.servers.values()):
+            if view.listing is not None and (view.runs or view.read_end > view.seen_end):
+                answer = self.leader._watcher.hold(view, 0.0)
+                self.leader._watcher.confirm_later(view, answer, threading.Event())
+        self._flush()
+
+    def _flush(self) -> None:
+        """Write what is dirty, unless the store is away."""
+        faults = self.store.faults
+        if not (faults.refuse or faults.lose or faults.delay):
+            self.leader.recorder.flush(self.never)
+
+    def phase(self, job_id: str) -> JobPhase:
+        """Return what a caller is told."""
+        self.tail.catch_up()
+        return self.book.get(job_id).shown
+
+    def _make_leader(self, claim: Claim) -> Leader:
+        """Wire a leader."""
+        return Leader(
+            claim,
+            instance="test",
+            store=self.store,
+            book=self.book,
+            listing=self.world.servers,
+            calls=self.world.servers,
+            config=lambda: self.world.config,
+            clock=self.world.clock,
+        )
+
+    def _take_snapshot(self, records) -> None:
+        """Take the newest record of every key."""
+        self.book.replace(records)
+        if LEAD_KEY in records:
+            self.election.on_mark(records[LEAD_KEY])
+        self._tell([entry.job.id for entry in self.book.entries()])
+
+    def _take_records(self, records) -> None:
+        """Take records as they come."""
+        changed = []
+        for record in records:
+            if record.key == LEAD_KEY:
+                self.election.on_mark(record.value)
+            else:
+                changed.append(self.book.apply(record.key, record.value))
+        self._tell([job_id for job_id in changed if job_id])
+
+    def _tell(self, job_ids: list[str]) -> None:
+        """Tell the leader which jobs changed."""
+        if self.leader is not None:
+            self.leader.take_changes(job_ids)
+
+
+def play(world: World, instances: list[Instance], seconds: float, *, check=None) -> None:
+    """Let time pass in steps, and check after each that no task runs twice."""
+    end_s = world.clock.now() + seconds
+    while world.clock.now() < end_s:
+        world.clock.advance(STEP_S)
+        for instance in instances:
+            instance.step()
+        world.running()
+        if check is not None:
+            check()
+
+
+LONGEST_LEASE_S = CONFIRMED_S * 1.03 + 1.0
--- /dev/null
+++ b/libs/coordination/tests/test_leader.py
@@ -0,0 +1,196 @@
+"""Lead servers through faults, step by step."""
+
+import threading
+import unittest
+
+from stepping import LONGEST_LEASE_S, Instance, World, job, play, step
+
+from catkinknot.coordination import Verdict
+from catkinknot.jobs import Ended, JobPhase
+
+DEADLINE_S = 1e9
+
+
+class Base(unittest.TestCase):
+    """Set up a world with one leader."""
+
+    servers = 2
+
+    def setUp(self) -> None:
+        """Begin with a leader and a follower."""
+        self.world = World(self.servers)
+        self.first = Instance(self.world, "first")
+        self.second = Instance(self.world, "second")
+        self.first.lead()
+
+    def submit(self, *made, at: Instance | None = None) -> None:
+        """Hand jobs in."""
+        for one in made:
+            answer = (at or self.second).desk.submit(one, DEADLINE_S)
+            self.assertEqual(answer.verdict, Verdict.ACCEPTED)
+
+    def play(self, seconds: float) -> None:
+        """Let time pass for both instances."""
+        play(self.world, [self.first, self.second], seconds)
+
+
+class TestServing(Base):
+    """Serve jobs on a calm day."""
+
+    def test_job_completes(self) -> None:
+        """A job of two steps runs them in turn."""
+        self.submit(job("a" * 16, step(3), step(2, after=(0,))))
+        self.play(1.0)
+        self.assertEqual(self.second.phase("a" * 16), JobPhase.RUNNING)
+        self.assertEqual(len(self.world.running()), 3)
+        self.play(2.0)
+        self.assertEqual(len(self.world.running()), 2)
+        self.play(3.0)
+        self.assertEqual(self.second.phase("a" * 16), JobPhase.COMPLETED)
+
+    def test_gang_is_whole(self) -> None:
+        """A gang that has no room for all of its members starts none."""
+        self.submit(job("a" * 16, step(2, gpu=8)), job("b" * 16, step(3, gpu=8, gang=True)))
+        self.play(1.0)
+        self.assertEqual({task[0] for task in self.world.running()}, {"a"})
+
+    def test_repeat_is_the_same_job(self) -> None:
+        """A repeated submit through another instance starts nothing anew."""
+        self.submit(job("a" * 16))
+        self.submit(job("a" * 16), at=self.first)
+        self.play(5.0)
+        starts = [s for server in self.world.servers.all() for s in server.starts]
+        self.assertEqual(len(starts), 1)
+
+    def test_cancelled_job_is_stopped(self) -> None:
+        """What runs of a cancelled job is stopped, and the job stays cancelled."""
+        self.submit(job("a" * 16, step(4)))
+        self.play(0.5)
+        self.assertEqual(self.second.desk.cancel("a" * 16, DEADLINE_S).verdict, Verdict.CANCELLED)
+        self.play(0.5)
+        self.assertEqual(self.world.running(), {})
+        self.assertEqual(self.first.phase("a" * 16), JobPhase.CANCELLED)
+
+    def test_failing_job_is_given_up(self) -> None:
+        """A task that fails as often as its queue allows ends its job."""
+        for server in self.world.servers.all():
+            server.faults.fails = True
+        self.submit(job("a" * 16))
+        self.play(30.0)
+        self.assertEqual(self.first.phase("a" * 16), JobPhase.FAILED)
+        ends = [end for server in self.world.servers.all() for end in server.finished]
+        self.assertEqual([end[3] for end in ends], [Ended.FAILED] * 3)
+
+
+class TestUrgentWork(Base):
+    """Give urgent work its guaranteed accelerators."""
+
+    def test_urgent_job_stops_others(self) -> None:
+        """A job within its guarantee gets room at once, and the victims run again."""
+        self.submit(job("a" * 16, step(2, gpu=8)))
+        self.play(0.5)
+        self.submit(job("b" * 16, step(1, gpu=8), priority=0))
+        self.play(0.5)
+        self.assertIn("b" * 16 + ".0.0.0", self.world.running())
+        self.play(10.0)
+        self.assertEqual(self.first.phase("a" * 16), JobPhase.COMPLETED)
+
+
+class TestLostServers(Base):
+    """Move the work of servers that are gone."""
+
+    servers = 1
+
+    def test_silent_server_is_waited_out(self) -> None:
+        """Work of a server that is cut off starts elsewhere once its lease is over.
+
+        Seen on a played day: each renewal without an answer moved the end of
+        the lease on, so the work never moved.
+        """
+        self.submit(job("a" * 16))
+        self.play(0.5)
+        self.world.servers.by_id["s0"].faults.silent = True
+        self.world.servers.add("s9", self.world.servers.by_id["s0"].listing.capacity)
+        self.play(LONGEST_LEASE_S + 3.0)
+        self.assertEqual(self.first.phase("a" * 16), JobPhase.COMPLETED)
+
+    def test_reborn_server_has_lost_its_work(self) -> None:
+        """Work of an earlier lifetime starts again without waiting for its lease."""
+        self.submit(job("a" * 16))
+        self.play(0.5)
+        self.world.servers.add("s0", self.world.servers.by_id["s0"].listing.capacity)
+        self.play(3.0)
+        self.assertEqual(self.first.phase("a" * 16), JobPhase.COMPLETED)
+
+    def test_start_without_answer_runs_once(self) -> None:
+        """An order that is carried out late does not start a second run."""
+        server = self.world.servers.by_id["s0"]
+        other = self.world.servers.add("s9", server.listing.capacity)
+        server.faults.late = other.faults.late = True
+        self.submit(job("a" * 16))
+        self.play(0.5)
+        server.faults.late = other.faults.late = False
+        for one in (server, other):
+            one.carry_out_late()
+        self.play(12.0)
+        self.assertEqual(self.first.phase("a" * 16), JobPhase.COMPLETED)
+
+
+class TestChangeOfLeader(Base):
+    """Hand over between leaders."""
+
+    def test_successor_adopts_runs(self) -> None:
+        """Runs go on under the next leader and are not started again."""
+        self.submit(job("a" * 16, step(4)))
+        self.play(0.5)
+        self.second.lead()
+        play(self.world, [self.second], 4.0)
+        self.assertEqual(self.second.phase("a" * 16), JobPhase.COMPLETED)
+        starts = [s for server in self.world.servers.all() for s in server.starts]
+        self.assertEqual(len(starts), 4)
+
+    def test_deposed_leader_writes_nothing(self) -> None:
+        """A leader that was replaced notices at its next write."""
+        self.second.lead()
+        self.submit(job("a" * 16), at=self.first)
+        self.play(1.0)
+        self.assertTrue(self.first.leader.deposed)
+
+    def test_job_accepted_during_take_over_is_known(self) -> None:
+        """A job that arrives while the successor reads is not overlooked.
+
+        Seen on a played day: the change went to nobody, and the job waited
+        until the next change of the same job.
+        """
+        self.second.tail.catch_up()
+        self.second.election._marked_s = float("-inf")
+        claim = self.second.election._claim()
+        leader = self.second.prepare(claim)
+        read = leader.begin
+
+        def begin_then_submit() -> None:
+            read()
+            self.submit(job("b" * 16), at=self.first)
+            self.second.tail.catch_up()
+
+        leader.begin = begin_then_submit
+        self.second.election._make_leader = lambda _: leader
+        stopped = threading.Event()
+        stopped.set()
+        self.second.election._lead(claim, stopped)
+        self.assertIn("b" * 16, leader.board.jobs)
+
+    def test_all_instances_lost(self) -> None:
+        """New instances learn everything from the store."""
+        self.submit(job("a" * 16, step(3)), job("b" * 16, step(2), step(2, after=(0,))))
+        self.play(0.5)
+        self.world.store.forget_history()
+        fresh = Instance(self.world, "fresh")
+        fresh.lead()
+        play(self.world, [fresh], 8.0)
+        self.assertEqual(fresh.phase("a" * 16), JobPhase.COMPLETED)
+        self.assertEqual(fresh.phase("b" * 16), JobPhase.COMPLETED)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/standins/src/catkinknot_standins/__init__.py
+++ b/standins/src/catkinknot_standins/__init__.py
@@ -5,15 +5,23 @@
 from ._faults import Faults
 from ._http import Reply, Request, serve_json
 from ._instance_list import InstanceList
+from ._keyed_store import KeyedStore, StoreFaults, StoreView
 from ._log_store import LogStore
+from ._task_server import ServerFaults, TaskServer, TaskServers
 
 __all__ = [
     "BackendServer",
     "Faults",
     "InstanceList",
+    "KeyedStore",
     "LogStore",
     "Reply",
     "Request",
+    "ServerFaults",
+    "StoreFaults",
+    "StoreView",
+    "TaskServer",
+    "TaskServers",
     "backend_app",
     "list_app",
     "log_app",
