Reach the store through another instance while the direct way fails

Change: each call takes the direct way or one through a peer's relay; instances list themselves in the store; callers are refused within 0.3 s where nothing helps, told to ask again within 1.3 s where nobody knows; an instance without the store for 2.5 s is not ready. A claim is judged by what the ledger says, whatever its answer.

--- a/app/src/catkinknot/node/_node.py
+++ b/app/src/catkinknot/node/_node.py
@@ -7,7 +7,18 @@
 
 from loguru import logger
 
-from catkinknot.coordination import JOBS, LEAD_KEY, Claim, Desk, Election, Leader, Record, Tail
+from catkinknot.coordination import (
+    JOBS,
+    LEAD_KEY,
+    Claim,
+    Desk,
+    Election,
+    Leader,
+    PeerList,
+    Record,
+    StoreWays,
+    Tail,
+)
 from catkinknot.jobs import Configuration, JobBook
 from catkinknot.journal import open_json_logs
 from catkinknot.model import SystemClock
@@ -26,6 +37,7 @@
     metrics_page,
     open_server,
     readiness,
+    relay,
     settings_path,
 )
 
@@ -42,10 +54,14 @@
 FOLLOW_PAUSE_S = 0.02
 """Pause between reads of the ledger, to take several records at once."""
 
+UNREADY_S = 2.5
+"""Time without the store after which callers are better off elsewhere."""
+
 RESTART_S = 0.2
 """Pause before a part that broke begins again."""
 
 CALLER_THREADS = 20
+RELAY_THREADS = 8
 IDLE_S = 15.0
 DRAIN_S = 1.5
 STOP_MARGIN_S = 2.5
@@ -106,7 +122,14 @@
         self.stopping = threading.Event()
         self.counts = NodeCounts()
         self.config = ConfigHolder()
-        self.store = PlatformStore(settings.store.host, settings.store.port)
+        self.peers = PeerList(
+            settings.instance, str(settings.relay), seeds=settings.seeds, make_way=_way_through
+        )
+        self.store = StoreWays(
+            PlatformStore(settings.store.host, settings.store.port),
+            peers=self.peers.ways,
+            clock=self.clock,
+        )
         self.servers = PlatformServers()
         self.listing = PlatformListing(self.store)
         self.book = JobBook()
@@ -151,7 +174,9 @@
 
     def ready(self) -> bool:
         """Tell whether callers should come here."""
-        return self.config.current is not None and not self.stopping.is_set()
+        silent_s = self.clock.now() - self.jobs_tail.heard_s
+        known = self.config.current is not None and self.jobs_tail.next_offset is not None
+        return known and silent_s < UNREADY_S and not self.stopping.is_set()
 
     def _make_leader(self, claim: Claim) -> Leader:
         """Wire a leader for a claim."""
@@ -200,6 +225,12 @@
             stopped.wait(RESTART_S)
 
 
+def _way_through(address: str) -> PlatformStore:
+    """Return the way to the store through another instance."""
+    host, _, port = address.rpartition(":")
+    return PlatformStore(host, int(port))
+
+
 @contextmanager
 def _threads(parts: dict[str, Callable[[threading.Event], None]]):
     """Run parts on threads of their own until the context closes."""
@@ -250,6 +281,7 @@
                     "jobs-tail": node.jobs_tail.follow,
                     "config-tail": node.config_tail.follow,
                     "election": node.election.run,
+                    "peers": lambda stopped: node.peers.run(node.store, stopped),
                 }
             )
         )
@@ -262,11 +294,12 @@
                 drain_s=DRAIN_S,
             )
         )
-        for app, at in (
-            (readiness(node.ready), settings.readiness),
-            (metrics_page(node.counts.text), metrics_at),
+        for app, at, threads in (
+            (readiness(node.ready), settings.readiness, 1),
+            (metrics_page(node.counts.text), metrics_at, 1),
+            (relay(settings.store.host, settings.store.port), settings.relay, RELAY_THREADS),
         ):
-            stack.enter_context(open_server(app, at, threads=1, idle_s=IDLE_S, drain_s=0.2))
+            stack.enter_context(open_server(app, at, threads=threads, idle_s=IDLE_S, drain_s=0.2))
         log.bind(zone=settings.zone, callers=str(settings.callers)).info("The instance is up.")
         while not told.wait(0.5):
             pass
--- a/libs/coordination/src/catkinknot/coordination/__init__.py
+++ b/libs/coordination/src/catkinknot/coordination/__init__.py
@@ -3,6 +3,7 @@
 from ._desk import Answer, Desk, Verdict
 from ._election import Election
 from ._leader import Claim, Leader
+from ._peers import PeerList
 from ._recorder import LEAD_KEY
 from ._servers import (
     EndRow,
@@ -18,6 +19,7 @@
 )
 from ._store import JOBS, PEERS, RUNS, Batch, Fence, Record, Snapshot, Store
 from ._tail import Tail
+from ._ways import StoreWays
 
 __all__ = [
     "JOBS",
@@ -36,6 +38,7 @@
     "Listing",
     "OrderOutcome",
     "OrderReply",
+    "PeerList",
     "Record",
     "RunRow",
     "ServerCalls",
@@ -44,6 +47,7 @@
     "StartOrder",
     "StopOrder",
     "Store",
+    "StoreWays",
     "Tail",
     "Verdict",
 ]
--- a/libs/coordination/src/catkinknot/coordination/_desk.py
+++ b/libs/coordination/src/catkinknot/coordination/_desk.py
@@ -28,6 +28,12 @@
 RETRY_S = 0.05
 """Pause before a refused append is tried again."""
 
+REFUSED_S = 0.3
+"""How long a store that refuses is tried before the caller is told to try elsewhere."""
+
+SILENT_S = 1.3
+"""The same for a store that does not answer."""
+
 REFUSAL_S = 1
 """When a caller should come back after a refusal, in seconds."""
 
@@ -115,8 +121,16 @@
         if self._book.get(job.id) is not None:
             self._say(job.id, "A repeated submit is the same job.", Verdict.ACCEPTED)
             return Answer(Verdict.ACCEPTED)
+        left_ms = int((deadline_s - self._clock.now()) * 1000)
         verdict = self._append(job.id, Record(job.id, write_job(job)), deadline_s)
-        self._say(job.id, "A submit was answered.", verdict, queue=job.policy.queue)
+        self._say(
+            job.id,
+            "A submit was answered.",
+            verdict,
+            queue=job.policy.queue,
+            workspace=job.workspace,
+            left_ms=left_ms,
+        )
         return Answer(verdict, retry_after_s=REFUSAL_S)
 
     def look(self, job_id: str) -> Answer:
@@ -154,21 +168,29 @@
         return Answer(Verdict.COUNTED, waiting=self._book.count_waiting(queue.policy.queue))
 
     def _append(self, job_id: str, record: Record, deadline_s: float) -> Verdict:
-        """Append a caller's record, while its time lasts."""
+        """Append a caller's record, for as long as it is likely to help.
+
+        A repeated record changes nothing, so an append without an answer is
+        simply made again. A caller with time left does better at another
+        instance than waiting here.
+        """
         unsure = False
+        began_s = self._clock.now()
+        end_s = min(deadline_s, began_s + REFUSED_S)
         while True:
-            left_s = deadline_s - self._clock.now()
-            if left_s <= 0:
-                return Verdict.UNSURE if unsure else Verdict.REFUSED
+            left_s = max(deadline_s - self._clock.now(), RETRY_S)
             try:
                 self._store.append(JOBS, [record], timeout_s=left_s)
                 return Verdict.ACCEPTED
             except StoreRefusedError as exc:
                 self._log.bind(job=job_id, reason=exc.message).debug("The store refused.")
-                self._clock.sleep(RETRY_S)
             except StoreError as exc:
                 self._log.bind(job=job_id, reason=exc.message).info("The store was silent.")
                 unsure = True
+                end_s = min(deadline_s, began_s + SILENT_S)
+            if self._clock.now() + RETRY_S >= end_s:
+                return Verdict.UNSURE if unsure else Verdict.REFUSED
+            self._clock.sleep(RETRY_S)
 
     def _refresh(self, job_id: str) -> Verdict:
         """Read all that the ledger holds before a job is called unknown."""
--- a/libs/coordination/src/catkinknot/coordination/_election.py
+++ b/libs/coordination/src/catkinknot/coordination/_election.py
@@ -14,7 +14,7 @@
 from ._recorder import LEAD_KEY, PRODUCER, lead_mark
 from ._store import JOBS, RUNS, Fence, Record, Store
 from ._tail import Tail
-from .exceptions import FencedError, MovedError, OutOfSequenceError, StoreError
+from .exceptions import StoreError
 
 __all__ = ["Election"]
 
@@ -126,9 +126,9 @@
                 fence=Fence(PRODUCER, epoch, number),
                 only_at=self._tail.next_offset,
             )
-        except (MovedError, FencedError, OutOfSequenceError):
-            self._tail.catch_up()
-            return None
+        except StoreError as exc:
+            self._log.bind(epoch=epoch, reason=exc.message).info("A claim was not confirmed.")
+        # What the ledger says counts, whatever the answer was.
         self._tail.catch_up()
         if self._nonce != nonce:
             return None
--- /dev/null
+++ b/libs/coordination/src/catkinknot/coordination/_ways.py
@@ -0,0 +1,117 @@
+"""Reach the store directly, or through another instance while that fails."""
+
+import threading
+from collections.abc import Callable
+from typing import TypeVar
+
+from loguru import logger
+
+from catkinknot.model import Clock
+
+from ._store import Batch, Fence, Record, Snapshot, Store
+from .exceptions import StoreRefusedError, StoreSilentError
+
+__all__ = ["StoreWays"]
+
+DIRECT_PAUSE_S = 1.0
+"""How long the direct way is left alone after it failed."""
+
+PEER_PAUSE_S = 3.0
+"""The same for the way through another instance."""
+
+PEERS_TRIED = 2
+"""Other instances that are tried for one call."""
+
+T = TypeVar("T")
+
+
+class StoreWays:
+    """Choose a way to the store for each call.
+
+    A call that a way refused goes on to the next one. A call without an
+    answer may be done, so it is left to its maker to repeat; the repeat takes
+    another way.
+    """
+
+    def __init__(self, direct: Store, *, peers: Callable[[], dict[str, Store]], clock: Clock):
+        """Keep the ways.
+
+        Args:
+            direct: The store itself.
+            peers: Returns the ways through other instances, by address.
+            clock: Where time comes from.
+        """
+        self._direct = direct
+        self._peers = peers
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._paused: dict[str, float] = {}
+        self._detour = False
+        self._log = logger.bind(part="ways")
+
+    def append(
+        self,
+        topic: str,
+        records: list[Record],
+        *,
+        fence: Fence | None = None,
+        only_at: int | None = None,
+        timeout_s: float | None = None,
+    ) -> int:
+        """Append all records or none, and return the offset of the first."""
+        return self._call(
+            lambda way: way.append(
+                topic, records, fence=fence, only_at=only_at, timeout_s=timeout_s
+            )
+        )
+
+    def read(self, topic: str, start: int, *, wait_s: float = 0.0) -> Batch:
+        """Return records from an offset on, waiting a while for the first."""
+        return self._call(lambda way: way.read(topic, start, wait_s=wait_s))
+
+    def newest(self, topic: str) -> Snapshot:
+        """Return the newest record of every key."""
+        return self._call(lambda way: way.newest(topic))
+
+    def _call(self, action: Callable[[Store], T]) -> T:
+        """Make a call by the first way that takes it."""
+        refused: StoreRefusedError | None = None
+        for name, way in self._choose():
+            try:
+                answer = action(way)
+            except StoreRefusedError as exc:
+                self._pause(name)
+                refused = exc
+                continue
+            except StoreSilentError:
+                self._pause(name)
+                raise
+            self._note(name)
+            return answer
+        raise refused or StoreRefusedError("no way to the store is open")
+
+    def _choose(self) -> list[tuple[str, Store]]:
+        """Return the ways to try, the best first; the direct way always is one."""
+        now_s = self._clock.now()
+        with self._lock:
+            paused = {name for name, until_s in self._paused.items() if until_s > now_s}
+        peers = [(name, way) for name, way in self._peers().items() if name not in paused]
+        peers = peers[:PEERS_TRIED]
+        direct = ("", self._direct)
+        return [*peers, direct] if "" in paused else [direct, *peers]
+
+    def _pause(self, name: str) -> None:
+        """Leave a way alone for a while."""
+        pause_s = PEER_PAUSE_S if name else DIRECT_PAUSE_S
+        with self._lock:
+            self._paused[name] = self._clock.now() + pause_s
+
+    def _note(self, name: str) -> None:
+        """Log when calls begin or cease to take a detour."""
+        detour = bool(name)
+        with self._lock:
+            changed, self._detour = detour != self._detour, detour
+        if changed and detour:
+            self._log.bind(peer=name).warning("The store is reached through another instance.")
+        elif changed:
+            self._log.info("The store is reached directly again.")
