Stop others only when waiting costs the objective, and within a limit

Change: steps are ordered by what they can still earn; one stops others only when its slack is used up, or after 0.4 s on a guarantee, and throws away no more than a multiple of its own work. A server on which a step failed is avoided by it.

--- a/libs/coordination/src/catkinknot/coordination/_board.py
+++ b/libs/coordination/src/catkinknot/coordination/_board.py
@@ -26,7 +26,7 @@
 from ._store import JOBS, RUNS
 from ._views import CLOCK_DRIFT, JobView, RunView, ServerView
 
-__all__ = ["Board"]
+__all__ = ["ACCELERATOR_CORES", "Board"]
 
 ACCELERATOR_CORES = 8
 """Cores that an accelerator counts as when work is weighed."""
@@ -341,6 +341,9 @@
         if how is not Ended.FAILED:
             return
         view.failed_jobs.add(run.key.job)
+        job = self.jobs.get(run.key.job)
+        if job is not None:
+            job.suspects.setdefault(run.key, set()).add(view.life)
         if len(view.failed_jobs) >= FAILING_JOBS:
             view.suspect_until_s = self._clock.now() + SET_ASIDE_S
             self._log.bind(server=view.life, jobs=len(view.failed_jobs)).warning(
--- a/libs/coordination/src/catkinknot/coordination/_planner.py
+++ b/libs/coordination/src/catkinknot/coordination/_planner.py
@@ -7,9 +7,9 @@
 
 from catkinknot.jobs import Configuration, StepKey, StepState
 from catkinknot.model import Clock
-from catkinknot.packing import Placement, Wanting, choose, guaranteed_jobs
+from catkinknot.packing import Placement, Prospect, Wanting, choose, guaranteed_jobs
 
-from ._board import Board
+from ._board import ACCELERATOR_CORES, Board
 from ._views import JobView, RunView, ServerView
 
 __all__ = ["Planner"]
@@ -20,6 +20,21 @@
 LATE_FACTOR = 3
 """A job earns nothing once this many times its objective has passed."""
 
+LATE_MARGIN = 0.15
+"""Share of the objective that estimates may be wrong by before a job counts as late."""
+
+MIN_SLACK_S = 1.0
+"""A step stops others when it could wait no longer than this."""
+
+URGENT_WAIT_S = 0.4
+"""How long work on a guarantee waits for room before it stops others."""
+
+URGENT_EVICTION = 2.5
+"""Work that may be thrown away for urgent work, as a multiple of its own."""
+
+EVICTION = 0.5
+"""The same for other work."""
+
 
 @dataclass(slots=True)
 class _Kept:
@@ -120,10 +135,45 @@
         """Describe a step that waits."""
         now_s = self._clock.now()
         ready_s = view.ready_s.setdefault(state.key, now_s)
-        due_ms = view.job.due_ms(state.key.occurrence)
-        age_ms = self._clock.wall() * 1000 - due_ms
-        late = age_ms > LATE_FACTOR * view.job.objective_ms() and not view.job.lasts
-        return Wanting(state, ready_s, guaranteed=view.job.id in covered, late=late)
+        guaranteed = view.job.id in covered
+        prospect, slack_s = self._prospect(view, state)
+        waits_s = min(slack_s - MIN_SLACK_S, URGENT_WAIT_S if guaranteed else slack_s)
+        urgent = state.job.policy.priority == 0
+        ratio = URGENT_EVICTION if urgent else EVICTION
+        return Wanting(
+            state,
+            ready_s,
+            guaranteed=guaranteed,
+            prospect=prospect,
+            evicts=(guaranteed and now_s - ready_s >= URGENT_WAIT_S)
+            or (prospect is Prospect.IN_TIME and waits_s <= 0),
+            eviction_limit_core_s=float("inf") if guaranteed else ratio * _work_core_s(state),
+            suspects=frozenset(view.suspects.get(state.key, ())),
+        )
+
+    def _prospect(self, view: JobView, state: StepState) -> tuple[Prospect, float]:
+        """Return what a step can still earn, and how long it can wait for that.
+
+        Returns:
+            The prospect, and the seconds until a start would come too late
+            for the job's objective.
+        """
+        job = view.job
+        if job.lasts:
+            return Prospect.IN_TIME, 0.0
+        key = state.key
+        done = frozenset(
+            i
+            for i in range(len(job.steps))
+            if (other := view.steps.get(StepKey(job.id, key.occurrence, i))) and other.done
+        )
+        left_ms = job.chain_ms(done=done)
+        age_ms = self._clock.wall() * 1000 - job.due_ms(key.occurrence)
+        slack_ms = job.objective_ms() - age_ms - left_ms
+        if age_ms > LATE_FACTOR * job.objective_ms():
+            return Prospect.NOTHING, 0.0
+        late = slack_ms < -LATE_MARGIN * job.objective_ms()
+        return (Prospect.LATE if late else Prospect.IN_TIME), slack_ms / 1000
 
     def _act(self, one: Wanting, placement: Placement) -> None:
         """Start a step, or stop its victims and keep the room for it."""
@@ -135,6 +185,8 @@
             lost_core_s=round(placement.cost_core_s, 1),
             waited_ms=int((self._clock.now() - one.due_s) * 1000),
             guaranteed=one.guaranteed,
+            prospect=one.prospect.name.lower(),
+            priority=state.job.policy.priority,
         ).info("A step gets servers.")
         if not placement.victims:
             self._assign(state, placement)
@@ -184,3 +236,9 @@
         self._kept.pop(key, None)
         for view in self._board.servers.values():
             view.room.reserved.pop(str(key), None)
+
+
+def _work_core_s(state: StepState) -> float:
+    """Return the declared work of a step's waiting tasks."""
+    each = state.step.need.cpu_milli / 1000 + state.step.need.accelerators * ACCELERATOR_CORES
+    return len(state.waiting()) * each * state.step.estimate_ms / 1000
--- a/libs/coordination/src/catkinknot/coordination/_views.py
+++ b/libs/coordination/src/catkinknot/coordination/_views.py
@@ -123,6 +123,8 @@
         phase: What callers are told.
         steps: Its steps by key, for the occurrences that are due.
         next_occurrence: The first that is not due yet.
+        ready_s: When each step became ready.
+        suspects: Servers on which tasks of a step have failed.
         ended_s: When it ended, None while it has not.
     """
 
@@ -131,6 +133,7 @@
     steps: dict[StepKey, StepState] = field(default_factory=dict)
     next_occurrence: int = 0
     ready_s: dict[StepKey, float] = field(default_factory=dict)
+    suspects: dict[StepKey, set[str]] = field(default_factory=dict)
     ended_s: float | None = None
 
     def open_next(self) -> None:
--- a/libs/jobs/src/catkinknot/jobs/_spec.py
+++ b/libs/jobs/src/catkinknot/jobs/_spec.py
@@ -204,12 +204,16 @@
         """Return when an occurrence may start, in milliseconds since 1970."""
         return self.schedule.due_ms(occurrence) if self.schedule else self.accepted_ms
 
-    def chain_ms(self) -> int:
-        """Return the declared time of the longest chain of steps."""
+    def chain_ms(self, *, done: frozenset[int] = frozenset()) -> int:
+        """Return the declared time of the longest chain of steps.
+
+        Args:
+            done: Steps that need no more time.
+        """
         ends: list[int] = []
-        for step in self.steps:
-            start = max((ends[i] for i in step.after if i < len(ends)), default=0)
-            ends.append(start + step.estimate_ms)
+        for i, step in enumerate(self.steps):
+            start = max((ends[j] for j in step.after if j < i), default=0)
+            ends.append(start + (0 if i in done else step.estimate_ms))
         return max(ends, default=0)
 
     def objective_ms(self) -> float:
--- a/libs/packing/src/catkinknot/packing/_plan.py
+++ b/libs/packing/src/catkinknot/packing/_plan.py
@@ -3,13 +3,22 @@
 from collections import defaultdict
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
+from enum import IntEnum
 
 from catkinknot.jobs import Resources, StepState
 
 from ._place import Placement, Request, place, place_by_eviction
 from ._room import Occupant, Room
 
-__all__ = ["Wanting", "choose", "guaranteed_jobs"]
+__all__ = ["Prospect", "Wanting", "choose", "guaranteed_jobs"]
+
+
+class Prospect(IntEnum):
+    """Say what a step that gets servers now can still earn its caller."""
+
+    IN_TIME = 0
+    LATE = 1
+    NOTHING = 2
 
 
 @dataclass(slots=True)
@@ -20,21 +29,31 @@
         state: The step and its tasks.
         due_s: When it became ready, on the leader's clock.
         guaranteed: Whether its workspace's guarantee covers it.
-        late: Whether it can earn its caller nothing any more.
+        prospect: What it can still earn.
+        evicts: Whether its time to wait for room is over.
+        eviction_limit_core_s: Most work that may be thrown away for it.
         suspects: Servers it should not use.
     """
 
     state: StepState
     due_s: float
     guaranteed: bool = False
-    late: bool = False
+    prospect: Prospect = Prospect.IN_TIME
+    evicts: bool = True
+    eviction_limit_core_s: float = float("inf")
     suspects: frozenset[str] = frozenset()
 
     @property
     def order(self) -> tuple:
         """Sort the first to be served to the front."""
-        policy = self.state.job.policy
-        return (not self.guaranteed, self.late, policy.priority, self.due_s, str(self.state.key))
+        return (
+            not self.guaranteed,
+            self.prospect is Prospect.NOTHING,
+            self.state.job.policy.priority,
+            self.prospect,
+            self.due_s,
+            str(self.state.key),
+        )
 
 
 def guaranteed_jobs(states: Iterable[StepState], guarantees: dict[str, int]) -> set[str]:
@@ -90,10 +109,10 @@
         found = place(req)
         if found is not None:
             return found
-        if one.late:
+        if not one.evicts:
             continue
         found = place_by_eviction(req, _groups(rooms))
-        if found is not None:
+        if found is not None and found.cost_core_s <= one.eviction_limit_core_s:
             return found
     return None
 
@@ -101,11 +120,8 @@
 def _requests(one: Wanting, rooms: list[Room], now_s: float) -> list[Request]:
     """Return what to ask for, the best way first."""
     state, step, policy = one.state, one.state.step, one.state.job.policy
-    usable = tuple(
-        room
-        for room in rooms
-        if room.takes(policy.service, step) and room.server not in one.suspects
-    )
+    usable = tuple(room for room in rooms if room.takes(policy.service, step))
+    sound = tuple(room for room in usable if room.server not in one.suspects)
     base = Request(
         step=str(state.key),
         need=step.room,
@@ -115,14 +131,14 @@
         guaranteed=one.guaranteed,
         whole=step.gang,
         max_per_server=step.max_per_server,
-        usable=usable,
+        usable=sound or usable,
     )
     patience_s = step.estimate_ms / 1000
     if step.gang and step.one_rack and step.count > 1:
         best = replace(base, one_rack=True)
         return [best] if _fits_a_rack(best) and now_s - one.due_s < patience_s else [best, base]
-    if step.data_rack and any(room.rack == step.data_rack for room in usable):
-        near = tuple(room for room in usable if room.rack == step.data_rack)
+    near = tuple(room for room in base.usable if room.rack == step.data_rack)
+    if step.data_rack and near:
         best = replace(base, usable=near)
         return [best] if now_s - one.due_s < patience_s else [best, base]
     return [base]
