--- a/libs/coordination/src/catkinknot/coordination/_board.py
+++ b/libs/coordination/src/catkinknot/coordination/_board.py
@@ -26,7 +26,7 @@
 from ._store import JOBS, RUNS
 from ._views import CLOCK_DRIFT, JobView, RunView, ServerView
 
-__all__ = ["ACCELERATOR_CORES", "Board"]
+__all__ = ["ACCELERATOR_CORES", "SET_ASIDE_S", "Board"]
 
 ACCELERATOR_CORES = 8
 """Cores that an accelerator counts as when work is weighed."""
@@ -34,14 +34,6 @@
 FAILING_JOBS = 2
 """Different jobs that fail in a row before a server is set aside."""
 
-STUCK_S = 4.0
-"""A run without progress for this long stands still."""
-
-DONE_PERCENT = 100
-
-STOP_AGAIN_S = 1.0
-"""Time after which a stop that was not confirmed is sent again."""
-
 REFUSED_PAUSE_S = 0.3
 """How long a step waits after a server refused to start a task of it."""
 
@@ -57,6 +49,7 @@
         jobs: Jobs by identity.
         servers: Servers by lifetime.
         changed: Set when there may be something to decide.
+        send_stop: Sends the order to stop a run, with a reason.
     """
 
     def __init__(
@@ -79,7 +72,7 @@
         """
         self._recorder = recorder
         self._clock = clock
-        self._stop_run = stop_run
+        self.send_stop = stop_run
         self._inherited_end_s = fence_s + inherited_s * CLOCK_DRIFT
         self._log = logger.bind(part="board")
         self.lock = threading.RLock()
@@ -334,7 +327,7 @@
         self._log.bind(task=row.task, run=row.run, server=view.life).warning(
             "A run that nobody asked for is stopped."
         )
-        self._stop_run(view, stray, "nobody asked for this run")
+        self.send_stop(view, stray, "nobody asked for this run")
 
     def _take_end(self, view: ServerView, row: EndRow) -> None:
         """Take the end of a run."""
@@ -418,54 +411,7 @@
             self._log.bind(task=run.task, run=run.run, server=view.life, reason=reason).info(
                 "A run is stopped."
             )
-            self._stop_run(view, run, reason)
-
-    def stop_stuck(self) -> None:
-        """Stop runs that make no progress on a server that answers.
-
-        A server on which work of its own stands still gets no new work for a
-        while; a gang may stand still for any one of its members, so only the
-        gang itself avoids their servers.
-        """
-        with self.lock:
-            now_s = self._clock.now()
-            for view in list(self.servers.values()):
-                if view.heard_s is None or now_s - view.heard_s > STUCK_S / 2:
-                    continue
-                for run in list(view.runs.values()):
-                    if self._is_stuck(run, now_s):
-                        self._give_up_stuck(view, run)
-
-    def _is_stuck(self, run: RunView, now_s: float) -> bool:
-        """Tell whether a run has stood still for too long."""
-        job = self.jobs.get(run.key.job)
-        if job is None or run.stopping or run.moved_s is None:
-            return False
-        if job.job.steps[run.key.step].service or run.percent >= DONE_PERCENT:
-            return False
-        return now_s - run.moved_s > STUCK_S
-
-    def _give_up_stuck(self, view: ServerView, run: RunView) -> None:
-        """Stop a run that stands still, and avoid its server."""
-        job = self.jobs[run.key.job]
-        job.suspects.setdefault(run.key, set()).add(view.life)
-        state = job.steps[run.key]
-        if not state.step.gang or state.step.count == 1:
-            view.suspect_until_s = self._clock.now() + SET_ASIDE_S
-        self.stop_task(state, run.index, f"it has stood still at {run.percent} percent")
-
-    def repeat_stops(self) -> None:
-        """Stop once more what a server that answers has not confirmed to stop."""
-        with self.lock:
-            now_s = self._clock.now()
-            for view in self.servers.values():
-                if view.silent_since_s is not None:
-                    continue
-                for run in list(view.runs.values()):
-                    open_stop = run.stopping and run.settled_s is None
-                    if open_stop and now_s - run.told_s > STOP_AGAIN_S:
-                        run.told_s = now_s
-                        self._stop_run(view, run, "the last stop got no answer")
+            self.send_stop(view, run, reason)
 
     def stop_group(self, group: str, reason: str) -> None:
         """Have everything stopped that is stopped together."""
--- /dev/null
+++ b/libs/coordination/src/catkinknot/coordination/_chase.py
@@ -0,0 +1,65 @@
+"""Chase what does not move: stops without an answer, and runs that stand still."""
+
+from catkinknot.model import Clock
+
+from ._board import SET_ASIDE_S, Board
+from ._views import RunView, ServerView
+
+__all__ = ["repeat_stops", "stop_stuck"]
+
+STUCK_S = 4.0
+"""A run without progress for this long stands still."""
+
+DONE_PERCENT = 100
+
+STOP_AGAIN_S = 1.0
+"""Time after which a stop that was not confirmed is sent again."""
+
+
+def repeat_stops(board: Board, clock: Clock) -> None:
+    """Stop once more what a server that answers has not confirmed to stop."""
+    now_s = clock.now()
+    for view in board.servers.values():
+        if view.silent_since_s is not None:
+            continue
+        for run in list(view.runs.values()):
+            open_stop = run.stopping and run.settled_s is None
+            if open_stop and now_s - run.told_s > STOP_AGAIN_S:
+                run.told_s = now_s
+                board.send_stop(view, run, "the last stop got no answer")
+
+
+def stop_stuck(board: Board, clock: Clock) -> None:
+    """Stop runs that make no progress on a server that answers.
+
+    A server on which work of its own stands still gets no new work for a
+    while; a gang may stand still for any one of its members, so only the
+    gang itself avoids their servers.
+    """
+    now_s = clock.now()
+    for view in list(board.servers.values()):
+        if view.heard_s is None or now_s - view.heard_s > STUCK_S / 2:
+            continue
+        for run in list(view.runs.values()):
+            if _is_stuck(board, run, now_s):
+                _give_up(board, view, run, now_s)
+
+
+def _is_stuck(board: Board, run: RunView, now_s: float) -> bool:
+    """Tell whether a run has stood still for too long."""
+    job = board.jobs.get(run.key.job)
+    if job is None or run.stopping or run.moved_s is None:
+        return False
+    if job.job.steps[run.key.step].service or run.percent >= DONE_PERCENT:
+        return False
+    return now_s - run.moved_s > STUCK_S
+
+
+def _give_up(board: Board, view: ServerView, run: RunView, now_s: float) -> None:
+    """Stop a run that stands still, and avoid its server."""
+    job = board.jobs[run.key.job]
+    job.suspects.setdefault(run.key, set()).add(view.life)
+    state = job.steps[run.key]
+    if not state.step.gang or state.step.count == 1:
+        view.suspect_until_s = now_s + SET_ASIDE_S
+    board.stop_task(state, run.index, f"it has stood still at {run.percent} percent")
--- a/libs/coordination/src/catkinknot/coordination/_planner.py
+++ b/libs/coordination/src/catkinknot/coordination/_planner.py
@@ -10,6 +10,7 @@
 from catkinknot.packing import Placement, Prospect, Wanting, choose, guaranteed_jobs
 
 from ._board import ACCELERATOR_CORES, Board
+from ._chase import repeat_stops, stop_stuck
 from ._views import JobView, RunView, ServerView
 
 __all__ = ["Planner"]
@@ -81,8 +82,8 @@
         with board.lock:
             board.finish_due()
             board.lose_overdue()
-            board.repeat_stops()
-            board.stop_stuck()
+            repeat_stops(board, self._clock)
+            stop_stuck(board, self._clock)
             board.refresh_rooms()
             self._protect()
             self._use_kept_room()
--- a/standins/src/catkinknot_standins/__init__.py
+++ b/standins/src/catkinknot_standins/__init__.py
@@ -7,6 +7,7 @@
 from ._instance_list import InstanceList
 from ._keyed_store import KeyedStore, StoreFaults, StoreView
 from ._log_store import LogStore
+from ._platform_http import entry_of, open_http, server_app, store_app
 from ._task_server import ServerFaults, TaskServer, TaskServers
 
 __all__ = [
@@ -23,7 +24,11 @@
     "TaskServer",
     "TaskServers",
     "backend_app",
+    "entry_of",
     "list_app",
     "log_app",
+    "open_http",
     "serve_json",
+    "server_app",
+    "store_app",
 ]
