Keep decisions quick on a large fleet, and tell a job's story from logs

Each renewal of a lease began a round of decisions, each round weighed every server anew for each victim. Change: what a server's tasks take is kept, victims are ranked once, a round is followed by a pause as long, only ends and changes begin one. Counters of decisions taken from their log lines, so that both always agree; histograms of calls, waits and store calls; the verb explain. Ruled out for now: the store's limits (no call was refused there but by the disturbance).

--- a/app/src/catkinknot/app/_cli.py
+++ b/app/src/catkinknot/app/_cli.py
@@ -20,6 +20,7 @@
     to_python,
 )
 from catkinknot.model.exceptions import BadInputError, CatkinknotError
+from catkinknot.node import explain, read_lines, run_node
 
 from ._config_desk import fleet_faults
 from ._front import Front
@@ -36,6 +37,11 @@
 _OPEN = (ResultCode.ACCEPTED, ResultCode.RUNNING, ResultCode.OUTCOME_UNKNOWN)
 
 
+def _to_json(found: object) -> str:
+    """Write something for programs; the verbs' own option hides the module."""
+    return json.dumps(found, indent=2)
+
+
 class Config:
     """Generate, check, publish and show configurations."""
 
@@ -122,6 +128,34 @@
         """
         run_serve(load_settings(settings))
 
+    def instance(self) -> None:
+        """Run one instance on the users' platform until SIGTERM.
+
+        The platform's settings file says where everything is; its path is in
+        the environment.
+
+        Example: catkinknot instance
+        """
+        status = run_node()
+        if status:
+            raise SystemExit(status)
+
+    def explain(self, job: str, *files: str, json: bool = False) -> None:
+        """Tell one job's story from the logs of any number of processes.
+
+        Example: catkinknot explain 5c0e7a21d94b36f8 instance-1.log instance-2.log
+
+        Args:
+            job: Its identity, or the first digits of it.
+            files: Files with the standard output of processes.
+            json: Print for programs.
+        """
+        try:
+            story = explain(str(job), read_lines(Path(file) for file in files))
+        except OSError as exc:
+            raise BadInputError(ResultCode.BAD_USAGE, [str(exc)]) from exc
+        print(_to_json(story.as_json()) if json else story.text())
+
     def submit(
         self,
         workspace: str,
--- a/app/src/catkinknot/node/_node.py
+++ b/app/src/catkinknot/node/_node.py
@@ -129,6 +129,7 @@
             PlatformStore(settings.store.host, settings.store.port),
             peers=self.peers.ways,
             clock=self.clock,
+            observe=self.counts.observe_store,
         )
         self.servers = PlatformServers()
         self.listing = PlatformListing(self.store)
@@ -259,11 +260,30 @@
     except BadInputError as exc:
         logger.bind(code=int(exc.code)).error(exc.message)
         return 2
-    with open_json_logs(settings.instance):
-        _serve(Node(settings), path)
+    node = Node(settings)
+    with open_json_logs(settings.instance, observe=node.counts.observe_line) as writer:
+        node.counts.before_reading(lambda: _set_gauges(node, writer.dropped))
+        _serve(node, path)
     return 0
 
 
+def _set_gauges(node: Node, dropped: int) -> None:
+    """Set the gauges to what the instance knows now."""
+    leader = node.election.leading
+    known = {
+        "config_version": node.config.current.version if node.config.current else 0,
+        "ledger_offset": node.jobs_tail.next_offset or 0,
+        "ledger_age_seconds": node.clock.now() - node.jobs_tail.heard_s,
+        "leading": int(leader is not None),
+        "epoch": node.election.epoch,
+        "jobs": len(node.book.entries()),
+        "runs": leader.board.count_runs() if leader else 0,
+        "log_lines_dropped_total": dropped,
+    }
+    for name, value in known.items():
+        node.counts.set(name, value)
+
+
 def _serve(node: Node, path) -> None:
     """Serve until the platform says stop."""
     log = logger.bind(part="main")
--- a/libs/coordination/src/catkinknot/coordination/_board.py
+++ b/libs/coordination/src/catkinknot/coordination/_board.py
@@ -231,6 +231,11 @@
 
     # Runs
 
+    def count_runs(self) -> int:
+        """Return how many runs are or may be on servers."""
+        with self.lock:
+            return sum(len(view.runs) for view in self.servers.values())
+
     def assign(self, state: StepState, places: dict[int, str]) -> list[tuple[ServerView, RunView]]:
         """Begin a run and have it recorded.
 
@@ -266,6 +271,7 @@
             if not self._note_answer(view, answer.reply.outcome, now_s):
                 return
             view.note_clock(answer.reply.clock_ms, now_s)
+            before = len(view.runs)
             for row in answer.ended:
                 self._take_end(view, row)
             running = {row.task: row for row in answer.running}
@@ -276,7 +282,8 @@
                 row = running.get(run.task)
                 if gone and (row is None or row.run != run.run):
                     self._end_run(view, run, Ended.LOST, run.checkpoint)
-            self.changed.set()
+            if len(view.runs) != before:
+                self.changed.set()
 
     def _note_answer(self, view: ServerView, outcome: OrderOutcome, now_s: float) -> bool:
         """Note whether a server answers; return whether its answer counts."""
--- a/libs/coordination/src/catkinknot/coordination/_leader.py
+++ b/libs/coordination/src/catkinknot/coordination/_leader.py
@@ -36,6 +36,9 @@
 PLAN_S = 0.2
 """Longest time between two rounds of decisions."""
 
+PAUSE_S = 0.005
+"""Shortest time between two rounds; a round that took longer is followed by as long a pause."""
+
 LISTING_S = 0.4
 """Time between two looks at the list of servers."""
 
@@ -205,8 +208,10 @@
             self.board.changed.clear()
             if self.stopped.is_set():
                 return
+            began_s = self._clock.now()
             self._planner.plan()
             self._watch_busy()
+            self.stopped.wait(max(PAUSE_S, self._clock.now() - began_s))
 
     def _watch_busy(self) -> None:
         """See that every server with work of ours has its lease renewed."""
--- a/libs/coordination/src/catkinknot/coordination/_views.py
+++ b/libs/coordination/src/catkinknot/coordination/_views.py
@@ -110,12 +110,12 @@
     def admit(self, run: RunView, occupant: Occupant) -> None:
         """Note a run that is about to be started."""
         self.runs[run.task] = run
-        self.room.occupants[run.task] = occupant
+        self.room.put(occupant)
 
     def drop(self, task: str) -> None:
         """Note that a run is gone."""
         self.runs.pop(task, None)
-        self.room.occupants.pop(task, None)
+        self.room.remove(task)
 
 
 @dataclass(slots=True)
--- a/libs/coordination/src/catkinknot/coordination/_ways.py
+++ b/libs/coordination/src/catkinknot/coordination/_ways.py
@@ -9,7 +9,7 @@
 from catkinknot.model import Clock
 
 from ._store import Batch, Fence, Record, Snapshot, Store
-from .exceptions import StoreRefusedError, StoreSilentError
+from .exceptions import StoreError, StoreRefusedError, StoreSilentError
 
 __all__ = ["StoreWays"]
 
@@ -33,14 +33,23 @@
     another way.
     """
 
-    def __init__(self, direct: Store, *, peers: Callable[[], dict[str, Store]], clock: Clock):
+    def __init__(
+        self,
+        direct: Store,
+        *,
+        peers: Callable[[], dict[str, Store]],
+        clock: Clock,
+        observe: Callable[[str, str, float], None] = lambda kind, outcome, seconds: None,
+    ) -> None:
         """Keep the ways.
 
         Args:
             direct: The store itself.
             peers: Returns the ways through other instances, by address.
             clock: Where time comes from.
+            observe: Takes kind, outcome and seconds of each call.
         """
+        self._observe = observe
         self._direct = direct
         self._peers = peers
         self._clock = clock
@@ -60,20 +69,33 @@
     ) -> int:
         """Append all records or none, and return the offset of the first."""
         return self._call(
+            "append",
             lambda way: way.append(
                 topic, records, fence=fence, only_at=only_at, timeout_s=timeout_s
-            )
+            ),
         )
 
     def read(self, topic: str, start: int, *, wait_s: float = 0.0) -> Batch:
         """Return records from an offset on, waiting a while for the first."""
-        return self._call(lambda way: way.read(topic, start, wait_s=wait_s))
+        return self._call("read", lambda way: way.read(topic, start, wait_s=wait_s))
 
     def newest(self, topic: str) -> Snapshot:
         """Return the newest record of every key."""
-        return self._call(lambda way: way.newest(topic))
-
-    def _call(self, action: Callable[[Store], T]) -> T:
+        return self._call("newest", lambda way: way.newest(topic))
+
+    def _call(self, kind: str, action: Callable[[Store], T]) -> T:
+        """Make a call, and say how it went and how long it took."""
+        began_s = self._clock.now()
+        outcome = "done"
+        try:
+            return self._try_ways(action)
+        except StoreError as exc:
+            outcome = type(exc).__name__
+            raise
+        finally:
+            self._observe(kind, outcome, self._clock.now() - began_s)
+
+    def _try_ways(self, action: Callable[[Store], T]) -> T:
         """Make a call by the first way that takes it."""
         refused: StoreRefusedError | None = None
         for name, way in self._choose():
--- a/libs/journal/src/catkinknot/journal/_json_lines.py
+++ b/libs/journal/src/catkinknot/journal/_json_lines.py
@@ -4,6 +4,7 @@
 import queue
 import sys
 import threading
+from collections.abc import Callable
 from contextlib import contextmanager
 from datetime import datetime
 
@@ -24,14 +25,23 @@
         dropped: Lines that found the queue full.
     """
 
-    def __init__(self, instance: str, stream=None, *, max_lines: int = MAX_LINES) -> None:
+    def __init__(
+        self,
+        instance: str,
+        stream=None,
+        *,
+        max_lines: int = MAX_LINES,
+        observe: Callable[[str, dict], None] | None = None,
+    ) -> None:
         """Begin with an empty queue.
 
         Args:
             instance: This instance.
             stream: Where lines go; standard output by default.
             max_lines: How many lines may wait.
+            observe: Takes the text and the fields of each line, to count it.
         """
+        self._observe = observe
         self._instance = instance
         self._stream = stream or sys.stdout
         self._lines: queue.Queue[str | None] = queue.Queue(max_lines)
@@ -41,6 +51,8 @@
     def take(self, message) -> None:
         """Take a loguru message."""
         record = message.record
+        if self._observe is not None:
+            self._observe(record["message"], record["extra"])
         line = {
             "time": _stamp(record["time"]),
             "level": record["level"].name.lower(),
@@ -88,14 +100,20 @@
 
 
 @contextmanager
-def open_json_logs(instance: str, *, level: str = "INFO"):
+def open_json_logs(
+    instance: str,
+    *,
+    level: str = "INFO",
+    observe: Callable[[str, dict], None] | None = None,
+):
     """Send all logs of this process to standard output while the context is open.
 
     Args:
         instance: This instance.
         level: The lowest level that is written.
+        observe: Takes the text and the fields of each line, to count it.
     """
-    writer = LineWriter(instance)
+    writer = LineWriter(instance, observe=observe)
     logger.remove()
     logger.add(writer.take, level=level, format="{message}{exception}")
     thread = threading.Thread(target=writer.write_all, name="log-writer", daemon=True)
--- a/libs/journal/tests/test_journal.py
+++ b/libs/journal/tests/test_journal.py
@@ -1,11 +1,17 @@
 """Check the time line and the judgement."""
 
+import io
+import json
+import threading
 import unittest
 
+from loguru import logger
+
 from catkinknot.journal import (
     EventFilter,
     EventRing,
     LaneCounts,
+    LineWriter,
     LogicalClock,
     ServiceWindow,
     judge_lane,
@@ -100,3 +106,37 @@
         for code in (ResultCode.JOB_CANNOT_RUN, ResultCode.KEY_REUSED, ResultCode.CALLER_LIMIT):
             window.record("kind", Outcome("w", "k", code), took_s=1.0, deadline_s=5.0)
         self.assertEqual(window.counts(), [])
+
+
+class TestLineWriter(unittest.TestCase):
+    """Write JSON lines without waiting for their reader."""
+
+    def write(self, max_lines: int, count: int) -> tuple[LineWriter, list[dict]]:
+        """Log some lines, then let them be written."""
+        stream = io.StringIO()
+        seen = []
+        writer = LineWriter(
+            "a-1", stream, max_lines=max_lines, observe=lambda text, fields: seen.append(text)
+        )
+        handler = logger.add(writer.take, format="{message}")
+        for i in range(count):
+            logger.bind(part="x", job="j", n=i).info("A thing happened.")
+        logger.remove(handler)
+        self.assertEqual(len(seen), count)
+        thread = threading.Thread(target=writer.write_all)
+        thread.start()
+        writer.close()
+        thread.join()
+        return writer, [json.loads(line) for line in stream.getvalue().splitlines()]
+
+    def test_fields(self) -> None:
+        """A line holds its text, its part and everything that was bound."""
+        _, (line,) = self.write(10, 1)
+        self.assertEqual((line["text"], line["part"], line["job"]), ("A thing happened.", "x", "j"))
+        self.assertEqual(line["instance"], "a-1")
+
+    def test_full_queue_drops_and_counts(self) -> None:
+        """Lines beyond the queue are dropped, counted, and the count is written."""
+        writer, lines = self.write(5, 9)
+        self.assertGreaterEqual(writer.dropped, 4)
+        self.assertEqual(lines[1], {"text": "Lines were left out.", "lines": 4})
--- a/libs/packing/src/catkinknot/packing/_place.py
+++ b/libs/packing/src/catkinknot/packing/_place.py
@@ -8,7 +8,7 @@
 
 from ._room import Occupant, Room
 
-__all__ = ["Placement", "Request", "place", "place_by_eviction"]
+__all__ = ["Groups", "Placement", "Request", "place", "place_by_eviction"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,6 +57,31 @@
     cost_core_s: float = 0.0
 
 
+class Groups:
+    """Know everything that runs, by what is stopped together."""
+
+    def __init__(self, rooms: Iterable[Room]) -> None:
+        """Gather the occupants of all rooms.
+
+        Args:
+            rooms: All servers.
+        """
+        self.members: dict[str, list[tuple[Room, Occupant]]] = defaultdict(list)
+        self.costs: dict[str, float] = defaultdict(float)
+        for room in rooms:
+            for occupant in room.occupants.values():
+                self.members[occupant.group].append((room, occupant))
+                self.costs[occupant.group] += occupant.unsaved_core_s
+
+    def stoppable(self, may: Callable[[Occupant], bool]) -> set[str]:
+        """Return the groups of which every member may be stopped."""
+        return {
+            group
+            for group, members in self.members.items()
+            if all(may(occupant) for _, occupant in members)
+        }
+
+
 def place(req: Request) -> Placement | None:
     """Return servers that have room now, or None if there are none.
 
@@ -74,9 +99,7 @@
     return None if not found.places or (req.whole and short) else found
 
 
-def place_by_eviction(
-    req: Request, groups: dict[str, list[tuple[Room, Occupant]]]
-) -> Placement | None:
+def place_by_eviction(req: Request, groups: Groups) -> Placement | None:
     """Return servers for all tasks after stopping others, or None.
 
     Args:
@@ -139,34 +162,27 @@
     return may
 
 
-def _evict(
-    req: Request, rooms: list[Room], groups: dict[str, list[tuple[Room, Occupant]]]
-) -> Placement | None:
-    """Choose the servers whose occupants cost least to stop, one after another."""
-    may = _may_stop(req)
-    stoppable = {
-        group: members
-        for group, members in groups.items()
-        if all(may(occupant) for _, occupant in members)
-    }
-    costs = {
-        group: sum(occupant.unsaved_core_s for _, occupant in members)
-        for group, members in stoppable.items()
-    }
+def _evict(req: Request, rooms: list[Room], groups: Groups) -> Placement | None:
+    """Choose the servers whose occupants cost least to stop, cheapest first.
+
+    Each server is weighed once; when its turn comes it is weighed again, as
+    gangs that were stopped for others have made room on it meanwhile.
+    """
+    allowed = groups.stoppable(_may_stop(req))
     free = {room.server: room.free(beside=req.step) for room in rooms}
     found = Placement()
     left = list(req.indexes)
-    open_rooms = list(rooms)
-    while left and open_rooms:
-        offers = [_offer(req, room, free, stoppable, costs, found.victims) for room in open_rooms]
-        good = [offer for offer in offers if offer is not None]
-        if not good:
+    offers = [_offer(req, room, free, groups, allowed) for room in rooms]
+    ranked = sorted((one for one in offers if one is not None), key=lambda one: one.price)
+    for first in ranked:
+        if not left:
             break
-        best = min(good, key=lambda offer: offer.price)
-        open_rooms.remove(best.room)
+        best = _offer(req, first.room, free, groups, allowed - found.victims)
+        if best is None:
+            continue
         for group in best.victims - found.victims:
-            found.cost_core_s += costs[group]
-            for room, occupant in stoppable[group]:
+            found.cost_core_s += groups.costs[group]
+            for room, occupant in groups.members[group]:
                 if room.server in free:
                     free[room.server] += occupant.need
         found.victims |= best.victims
@@ -187,29 +203,24 @@
 
 
 def _offer(
-    req: Request,
-    room: Room,
-    free: dict[str, Resources],
-    stoppable: dict[str, list[tuple[Room, Occupant]]],
-    costs: dict[str, float],
-    taken: set[str],
+    req: Request, room: Room, free: dict[str, Resources], groups: Groups, allowed: set[str]
 ) -> _Offer | None:
     """Return how a room can take the most tasks with the fewest stops."""
     space = free[room.server]
     victims: set[str] = set()
     slots = _slots(req, room, space)
     cost = 0.0
-    own = [o for o in room.occupants.values() if o.group in stoppable and o.group not in taken]
-    own.sort(key=lambda o: (costs[o.group], -o.need.accelerators))
+    wanted = len(req.indexes)
+    own = [occupant for occupant in room.occupants.values() if occupant.group in allowed]
+    own.sort(key=lambda occupant: (groups.costs[occupant.group], -occupant.need.accelerators))
     for occupant in own:
-        if slots >= len(req.indexes):
+        if slots >= wanted:
             break
         space += occupant.need
         if occupant.group not in victims:
             victims.add(occupant.group)
-            cost += costs[occupant.group]
+            cost += groups.costs[occupant.group]
         slots = _slots(req, room, space)
     if not slots:
         return None
-    used = min(slots, len(req.indexes))
-    return _Offer(room, slots, victims, cost / used)
+    return _Offer(room, slots, victims, cost / min(slots, wanted))
--- a/libs/packing/src/catkinknot/packing/_plan.py
+++ b/libs/packing/src/catkinknot/packing/_plan.py
@@ -2,16 +2,19 @@
 
 from collections import defaultdict
 from collections.abc import Iterable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from enum import IntEnum
 
 from catkinknot.jobs import Resources, StepState
 
-from ._place import Placement, Request, place, place_by_eviction
-from ._room import Occupant, Room
+from ._place import Groups, Placement, Request, place, place_by_eviction
+from ._room import Room
 
 __all__ = ["Prospect", "Wanting", "choose", "guaranteed_jobs"]
 
+EVICTIONS_A_ROUND = 6
+"""Steps that may look for victims in one round; the others wait for the next."""
+
 
 class Prospect(IntEnum):
     """Say what a step that gets servers now can still earn its caller."""
@@ -94,8 +97,9 @@
         now_s: The present time.
     """
     chosen = []
+    look = _Look(Groups(rooms))
     for one in sorted(wanting, key=lambda w: w.order):
-        found = _serve(one, rooms, now_s)
+        found = _serve(one, rooms, now_s, look)
         if found is None:
             continue
         _reserve(one.state, found, rooms)
@@ -103,15 +107,38 @@
     return chosen
 
 
-def _serve(one: Wanting, rooms: list[Room], now_s: float) -> Placement | None:
+@dataclass(slots=True)
+class _Look:
+    """Remember what one round has found out.
+
+    Attributes:
+        groups: Everything that runs, by what is stopped together.
+        evictions: Steps that looked for victims.
+        full: What no server has room for; room only shrinks in a round.
+    """
+
+    groups: Groups
+    evictions: int = 0
+    full: set[tuple] = field(default_factory=set)
+
+
+def _serve(one: Wanting, rooms: list[Room], now_s: float, look: _Look) -> Placement | None:
     """Find servers for one step, by stopping others where it may."""
+    step, policy = one.state.step, one.state.job.policy
+    kind = (step.room, policy.service, step.labels)
+    plain = not (one.suspects or step.data_rack or step.max_per_server)
+    if kind in look.full and not one.evicts:
+        return None
     for req in _requests(one, rooms, now_s):
-        found = place(req)
+        found = place(req) if kind not in look.full else None
         if found is not None:
             return found
-        if not one.evicts:
+        if plain and not any(req.need.fits(room.free()) for room in req.usable):
+            look.full.add(kind)
+        if not one.evicts or look.evictions >= EVICTIONS_A_ROUND:
             continue
-        found = place_by_eviction(req, _groups(rooms))
+        look.evictions += 1
+        found = place_by_eviction(req, look.groups)
         if found is not None and found.cost_core_s <= one.eviction_limit_core_s:
             return found
     return None
@@ -155,15 +182,6 @@
     return max(sums.values(), default=0) >= len(req.indexes)
 
 
-def _groups(rooms: list[Room]) -> dict[str, list[tuple[Room, Occupant]]]:
-    """Return everything that runs, by what is stopped together."""
-    groups: dict[str, list[tuple[Room, Occupant]]] = defaultdict(list)
-    for room in rooms:
-        for occupant in room.occupants.values():
-            groups[occupant.group].append((room, occupant))
-    return groups
-
-
 def _reserve(state: StepState, found: Placement, rooms: list[Room]) -> None:
     """Keep the chosen room for the step."""
     counts: dict[str, int] = defaultdict(int)
--- a/libs/packing/src/catkinknot/packing/_room.py
+++ b/libs/packing/src/catkinknot/packing/_room.py
@@ -44,7 +44,9 @@
         service: The pool it serves.
         capacity: What it has.
         open: Whether new tasks may start there.
-        occupants: Who takes its capacity, by name of the task.
+        occupants: Who takes its capacity, by name of the task; changed by
+            `put` and `remove` only.
+        used: What they take together.
         reserved: What is kept free for a step that waits for victims to end.
     """
 
@@ -56,17 +58,28 @@
     capacity: Resources
     open: bool = True
     occupants: dict[str, Occupant] = field(default_factory=dict)
+    used: Resources = field(default_factory=Resources)
     reserved: dict[str, Resources] = field(default_factory=dict)
 
+    def put(self, occupant: Occupant) -> None:
+        """Let a task take room here."""
+        self.remove(occupant.task)
+        self.occupants[occupant.task] = occupant
+        self.used += occupant.need
+
+    def remove(self, task: str) -> None:
+        """Free the room of a task, if it is here."""
+        occupant = self.occupants.pop(task, None)
+        if occupant is not None:
+            self.used -= occupant.need
+
     def free(self, *, beside: str = "") -> Resources:
         """Return what nobody takes or keeps.
 
         Args:
             beside: A step whose own reservation does not count.
         """
-        left = self.capacity
-        for occupant in self.occupants.values():
-            left -= occupant.need
+        left = self.capacity - self.used
         for step, kept in self.reserved.items():
             if step != beside:
                 left -= kept
--- a/libs/packing/tests/test_plan.py
+++ b/libs/packing/tests/test_plan.py
@@ -5,6 +5,7 @@
 
 from catkinknot.jobs import Job, Policy, Resources, Step, StepKey, StepState
 from catkinknot.packing import (
+    Groups,
     Occupant,
     Prospect,
     Request,
@@ -27,9 +28,7 @@
 def put(where: Room, task: str, gpu: int, *, group: str = "", priority=2, unsaved=10.0, **extra):
     """Let a task run on a server."""
     need = Resources(1000, 1000, gpu)
-    where.occupants[task] = Occupant(
-        task, group or task, "s", need, priority, unsaved_core_s=unsaved, **extra
-    )
+    where.put(Occupant(task, group or task, "s", need, priority, unsaved_core_s=unsaved, **extra))
 
 
 def state(
@@ -60,7 +59,7 @@
     def test_memory_counts(self) -> None:
         """A server with free accelerators but no memory takes nothing."""
         full = room("a")
-        full.occupants["x"] = Occupant("x", "x", "s", Resources(0, 131_000, 0), 2)
+        full.put(Occupant("x", "x", "s", Resources(0, 131_000, 0), 2))
         self.assertIsNone(place(request(1, 1, [full])))
 
     def test_gang_stays_in_one_rack(self) -> None:
@@ -99,11 +98,7 @@
 
     def find(self, req: Request):
         """Return the placement after stopping others."""
-        groups: dict = {}
-        for one in req.usable:
-            for occupant in one.occupants.values():
-                groups.setdefault(occupant.group, []).append((one, occupant))
-        return place_by_eviction(req, groups)
+        return place_by_eviction(req, Groups(req.usable))
 
     def test_cheapest_victims(self) -> None:
         """The work that loses least is stopped."""
@@ -174,6 +169,48 @@
         self.assertEqual(found.places, {0: "b"})
 
 
+class TestLargeFleet(unittest.TestCase):
+    """Decide for a fleet many times larger."""
+
+    def test_work_grows_no_faster_than_the_fleet(self) -> None:
+        """A flood on ten times the servers costs some ten times the decisions.
+
+        Looks at rooms are counted, not time: each waiting step may look at
+        every server a few times, not once for each other step or victim.
+        """
+        looks = {}
+        for servers in (24, 240):
+            rooms = [room(f"s{i}", f"r{i // 6}") for i in range(servers)]
+            for one in rooms:
+                for j in range(8):
+                    put(one, f"{one.server}.{j}", 1)
+            counted = Counted.over(rooms)
+            wanting = [Wanting(state(f"j{i}", 4, 8, gang=True), 0.0) for i in range(10)]
+            self.assertTrue(choose(wanting, counted, 1.0))
+            looks[servers] = Counted.looks
+        self.assertLess(looks[240], 15 * looks[24])
+
+
+class Counted(Room):
+    """Count how often a room is looked at."""
+
+    __slots__ = ()
+    looks = 0
+
+    @classmethod
+    def over(cls, rooms: list[Room]) -> list[Room]:
+        """Return rooms that count."""
+        cls.looks = 0
+        for one in rooms:
+            one.__class__ = cls
+        return rooms
+
+    def free(self, *, beside: str = "") -> Resources:
+        """Count, and return what is free."""
+        Counted.looks += 1
+        return super().free(beside=beside)
+
+
 class TestGuarantee(unittest.TestCase):
     """Say which jobs a guarantee covers."""
 
