--- a/app/src/catkinknot/node/_explain.py
+++ b/app/src/catkinknot/node/_explain.py
@@ -3,10 +3,14 @@
 import json
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from datetime import datetime
 from pathlib import Path
 
 __all__ = ["Story", "explain", "read_lines"]
 
+AROUND_S = 5.0
+"""Trouble this long before a job's first line is shown too."""
+
 _HIDDEN = ("time", "level", "instance", "text", "part")
 
 
@@ -109,11 +113,14 @@
     if not story.lines:
         story.missing.append("no process has logged this job; was it ever handed in?")
         return story
-    first, last = story.lines[0].time, story.lines[-1].time
+    first = _seconds(story.lines[0]) - AROUND_S
+    last = _seconds(story.lines[-1])
     story.around = [
         line
         for level, line in known
-        if level in ("warning", "error") and first <= line.time <= last and not _names(line, job)
+        if level in ("warning", "error")
+        and first <= _seconds(line) <= last
+        and not _names(line, job)
     ]
     texts = {line.text for line in story.lines}
     for text, what in (
@@ -126,6 +133,14 @@
     return story
 
 
+def _seconds(line: Line) -> float:
+    """Return when a line was written, in seconds since 1970; 0 if it does not say."""
+    try:
+        return datetime.fromisoformat(line.time).timestamp()
+    except ValueError:
+        return 0.0
+
+
 def _read_line(raw: str) -> tuple[str, Line] | None:
     """Read one line."""
     start = raw.find("{")
--- a/libs/coordination/src/catkinknot/coordination/_desk.py
+++ b/libs/coordination/src/catkinknot/coordination/_desk.py
@@ -122,7 +122,7 @@
             self._say(job.id, "A repeated submit is the same job.", Verdict.ACCEPTED)
             return Answer(Verdict.ACCEPTED)
         left_ms = int((deadline_s - self._clock.now()) * 1000)
-        verdict = self._append(job.id, Record(job.id, write_job(job)), deadline_s)
+        verdict, reason = self._append(Record(job.id, write_job(job)), deadline_s)
         self._say(
             job.id,
             "A submit was answered.",
@@ -130,6 +130,7 @@
             queue=job.policy.queue,
             workspace=job.workspace,
             left_ms=left_ms,
+            reason=reason,
         )
         return Answer(verdict, retry_after_s=REFUSAL_S)
 
@@ -157,8 +158,8 @@
         entry = self._book.get(job_id)
         if entry.cancelled or entry.phase.final:
             return Answer(Verdict.CANCELLED)
-        verdict = self._append(job_id, Record(job_id + CANCEL_SUFFIX, b"1"), deadline_s)
-        self._say(job_id, "A cancel was answered.", verdict)
+        verdict, reason = self._append(Record(job_id + CANCEL_SUFFIX, b"1"), deadline_s)
+        self._say(job_id, "A cancel was answered.", verdict, reason=reason)
         if verdict is Verdict.ACCEPTED:
             return Answer(Verdict.CANCELLED)
         return Answer(Verdict.UNSURE)
@@ -167,12 +168,15 @@
         """Count the jobs of a queue that have not begun."""
         return Answer(Verdict.COUNTED, waiting=self._book.count_waiting(queue.policy.queue))
 
-    def _append(self, job_id: str, record: Record, deadline_s: float) -> Verdict:
+    def _append(self, record: Record, deadline_s: float) -> tuple[Verdict, str]:
         """Append a caller's record, for as long as it is likely to help.
 
         A repeated record changes nothing, so an append without an answer is
         simply made again. A caller with time left does better at another
         instance than waiting here.
+
+        Returns:
+            How it ended, and why if it did not succeed.
         """
         unsure = False
         began_s = self._clock.now()
@@ -181,15 +185,15 @@
             left_s = max(deadline_s - self._clock.now(), RETRY_S)
             try:
                 self._store.append(JOBS, [record], timeout_s=left_s)
-                return Verdict.ACCEPTED
+                return Verdict.ACCEPTED, ""
             except StoreRefusedError as exc:
-                self._log.bind(job=job_id, reason=exc.message).debug("The store refused.")
+                reason = exc.message
             except StoreError as exc:
-                self._log.bind(job=job_id, reason=exc.message).info("The store was silent.")
+                reason = exc.message
                 unsure = True
                 end_s = min(deadline_s, began_s + SILENT_S)
             if self._clock.now() + RETRY_S >= end_s:
-                return Verdict.UNSURE if unsure else Verdict.REFUSED
+                return (Verdict.UNSURE if unsure else Verdict.REFUSED), reason
             self._clock.sleep(RETRY_S)
 
     def _refresh(self, job_id: str) -> Verdict:
--- /dev/null
+++ b/libs/coordination/tests/test_desk.py
@@ -0,0 +1,105 @@
+"""Answer callers."""
+
+import unittest
+
+from stepping import Instance, World, job, play, step
+
+from catkinknot.coordination import Answer, Verdict
+from catkinknot.jobs import JobPhase
+
+ID = "a" * 16
+
+
+class TestDesk(unittest.TestCase):
+    """Answer at an instance that does not lead."""
+
+    def setUp(self) -> None:
+        """Begin with a leader elsewhere."""
+        self.world = World()
+        self.leader = Instance(self.world, "leader")
+        self.leader.lead()
+        self.here = Instance(self.world, "here")
+        self.desk = self.here.desk
+        self.soon_s = self.world.clock.now() + 1.0
+
+    def test_admission(self) -> None:
+        """The queue is found first, then the key."""
+        cases = (
+            ("host", "/0/", "key", None),
+            ("host", "/9/", "key", Verdict.UNKNOWN_QUEUE),
+            ("else", "/0/", "key", Verdict.UNKNOWN_QUEUE),
+            ("host", "/0/", "wrong", Verdict.UNKNOWN_KEY),
+        )
+        for host, path, key, verdict in cases:
+            with self.subTest(host=host, path=path, key=key):
+                found = self.desk.admit(host, path, key)
+                self.assertEqual(found.verdict if isinstance(found, Answer) else None, verdict)
+
+    def test_no_configuration(self) -> None:
+        """Without a configuration a call is refused, to come back soon."""
+        self.world.config = None
+        answer = self.desk.admit("host", "/0/", "key")
+        self.assertEqual(answer.verdict, Verdict.NO_CONFIG)
+        self.assertGreater(answer.retry_after_s, 0)
+
+    def test_job_of_another_instance(self) -> None:
+        """A job accepted a moment ago elsewhere is known here."""
+        self.leader.desk.submit(job(ID), self.soon_s)
+        self.assertEqual(self.desk.look(ID).phase, JobPhase.QUEUED)
+
+    def test_unknown_job(self) -> None:
+        """A job that nobody submitted is unknown, also to a cancel."""
+        self.assertEqual(self.desk.look(ID).verdict, Verdict.UNKNOWN_JOB)
+        self.assertEqual(self.desk.cancel(ID, self.soon_s).verdict, Verdict.UNKNOWN_JOB)
+
+    def test_unknown_while_the_store_is_away(self) -> None:
+        """A job is not called unknown by an instance that can't know."""
+        self.here.store.faults.refuse = True
+        self.assertEqual(self.desk.look(ID).verdict, Verdict.UNSURE)
+
+    def test_refused_submit_never_runs(self) -> None:
+        """What is refused has not reached the store."""
+        self.here.store.faults.refuse = True
+        answer = self.desk.submit(job(ID), self.soon_s)
+        self.assertEqual(answer.verdict, Verdict.REFUSED)
+        self.here.store.faults.refuse = False
+        play(self.world, [self.leader, self.here], 3.0)
+        self.assertEqual(self.desk.look(ID).verdict, Verdict.UNKNOWN_JOB)
+
+    def test_refusal_comes_at_once(self) -> None:
+        """A caller is not kept until its deadline by an instance that can't help."""
+        self.here.store.faults.refuse = True
+        before_s = self.world.clock.now()
+        self.desk.submit(job(ID), before_s + 3.0)
+        self.assertLess(self.world.clock.now() - before_s, 0.5)
+
+    def test_lost_answer(self) -> None:
+        """An append without an answer is made again; the job is one."""
+        self.here.store.faults.lose = 1
+        self.assertEqual(self.desk.submit(job(ID), self.soon_s).verdict, Verdict.ACCEPTED)
+        play(self.world, [self.leader, self.here], 3.0)
+        starts = [s for server in self.world.servers.all() for s in server.starts]
+        self.assertEqual(len(starts), 1)
+
+    def test_count(self) -> None:
+        """Jobs that have not begun are counted; begun and cancelled ones are not."""
+        full = [job(f"{i:016x}", step(2, gpu=8)) for i in range(3)]
+        for one in full:
+            self.desk.submit(one, self.soon_s)
+        play(self.world, [self.leader, self.here], 0.5)
+        queue, _ = self.desk.admit("host", "/1/", "key")
+        self.assertEqual(self.desk.count(queue).waiting, 2)
+        self.desk.cancel(full[2].id, self.world.clock.now() + 1.0)
+        self.here.tail.catch_up()
+        self.assertEqual(self.desk.count(queue).waiting, 1)
+
+    def test_cancel_after_the_end(self) -> None:
+        """A cancel of a job that has ended changes nothing."""
+        self.desk.submit(job(ID), self.soon_s)
+        play(self.world, [self.leader, self.here], 3.0)
+        self.desk.cancel(ID, self.world.clock.now() + 1.0)
+        self.assertEqual(self.desk.look(ID).phase, JobPhase.COMPLETED)
+
+
+if __name__ == "__main__":
+    unittest.main()
