Turn callers away at once while the store is known to be away

Change: an instance that has heard nothing from the store for 1.4 s sends nothing: it refuses a caller's first try, which is true as it never reached the store, and answers later tries 504 with the time to come back; a silent store is tried for 0.75 s.

--- a/libs/coordination/src/catkinknot/coordination/_desk.py
+++ b/libs/coordination/src/catkinknot/coordination/_desk.py
@@ -31,9 +31,15 @@
 REFUSED_S = 0.3
 """How long a store that refuses is tried before the caller is told to try elsewhere."""
 
-SILENT_S = 1.3
+SILENT_S = 0.75
 """The same for a store that does not answer."""
 
+AWAY_S = 1.4
+"""A store that has answered nothing for this long is away; a read may wait most of it."""
+
+FIRST_TRY_MS = 200
+"""A call that has used up less of its time than this is its caller's first."""
+
 REFUSAL_S = 1
 """When a caller should come back after a refusal, in seconds."""
 
@@ -111,18 +117,22 @@
             return self._denied(Verdict.UNKNOWN_KEY, cfg, path)
         return queue, workspace or Workspace("")
 
-    def submit(self, job: Job, deadline_s: float) -> Answer:
+    def submit(self, job: Job, deadline_s: float, *, timeout_ms: int = 0) -> Answer:
         """Accept a job for good, or say that it never runs.
 
         Args:
             job: The job.
             deadline_s: When its caller stops waiting.
+            timeout_ms: How long the caller waits in all, 0 if that is unknown.
         """
         if self._book.get(job.id) is not None:
             self._say(job.id, "A repeated submit is the same job.", Verdict.ACCEPTED)
             return Answer(Verdict.ACCEPTED)
         left_ms = int((deadline_s - self._clock.now()) * 1000)
-        verdict, reason = self._append(Record(job.id, write_job(job)), deadline_s)
+        if self._store_away():
+            verdict, reason = self._turn_away(left_ms, timeout_ms)
+        else:
+            verdict, reason = self._append(Record(job.id, write_job(job)), deadline_s)
         self._say(
             job.id,
             "A submit was answered.",
@@ -134,6 +144,23 @@
         )
         return Answer(verdict, retry_after_s=REFUSAL_S)
 
+    def _store_away(self) -> bool:
+        """Tell whether the store is known not to answer."""
+        return self._clock.now() - self._tail.heard_s > AWAY_S
+
+    def _turn_away(self, left_ms: int, timeout_ms: int) -> tuple[Verdict, str]:
+        """Answer a submit at once that can't be stored now.
+
+        Only a caller's first try is known not to be on its way into the store
+        through another instance.
+
+        Args:
+            left_ms: What is left of the caller's time.
+            timeout_ms: How long it waits in all.
+        """
+        first = timeout_ms and timeout_ms - left_ms <= FIRST_TRY_MS
+        return (Verdict.REFUSED if first else Verdict.UNSURE), "the store is away"
+
     def look(self, job_id: str) -> Answer:
         """Say in which phase a job is."""
         entry = self._book.get(job_id)
@@ -162,7 +189,7 @@
         self._say(job_id, "A cancel was answered.", verdict, reason=reason)
         if verdict is Verdict.ACCEPTED:
             return Answer(Verdict.CANCELLED)
-        return Answer(Verdict.UNSURE)
+        return Answer(Verdict.UNSURE, retry_after_s=REFUSAL_S)
 
     def count(self, queue: Queue) -> Answer:
         """Count the jobs of a queue that have not begun."""
--- a/libs/coordination/tests/test_desk.py
+++ b/libs/coordination/tests/test_desk.py
@@ -73,6 +73,22 @@
         self.desk.submit(job(ID), before_s + 3.0)
         self.assertLess(self.world.clock.now() - before_s, 0.5)
 
+    def test_store_known_to_be_away(self) -> None:
+        """While the store is away, a first try is refused at once and never runs.
+
+        A later try may be on its way into the store through another instance,
+        so it is not called refused.
+        """
+        self.world.clock.advance(5.0)
+        now_s = self.world.clock.now()
+        first = self.desk.submit(job(ID), now_s + 3.0, timeout_ms=3000)
+        self.assertEqual(first.verdict, Verdict.REFUSED)
+        later = self.desk.submit(job(ID), now_s + 1.5, timeout_ms=3000)
+        self.assertEqual(later.verdict, Verdict.UNSURE)
+        self.assertGreater(later.retry_after_s, 0)
+        self.assertEqual(self.world.clock.now(), now_s)
+        self.assertNotIn(ID, self.here.store.newest("keyed.jobs").records)
+
     def test_lost_answer(self) -> None:
         """An append without an answer is made again; the job is one."""
         self.here.store.faults.lose = 1
