--- a/libs/coordination/src/catkinknot/coordination/_board.py
+++ b/libs/coordination/src/catkinknot/coordination/_board.py
@@ -34,6 +34,9 @@
 FAILING_JOBS = 2
 """Different jobs that fail in a row before a server is set aside."""
 
+SILENT_ORDERS = 3
+"""Orders in a row without an answer after which a server counts as silent."""
+
 REFUSED_PAUSE_S = 0.3
 """How long a step waits after a server refused to start a task of it."""
 
@@ -285,6 +288,16 @@
             if len(view.runs) != before:
                 self.changed.set()
 
+    def note_order(self, view: ServerView, answered: bool) -> None:
+        """Note whether an order was answered; some answers are lost on a sound way."""
+        with self.lock:
+            view.unanswered = 0 if answered else view.unanswered + 1
+            if view.unanswered >= SILENT_ORDERS and view.silent_since_s is None:
+                view.silent_since_s = self._clock.now()
+                self._log.bind(server=view.life, orders=view.unanswered).warning(
+                    "A server does not answer."
+                )
+
     def _note_answer(self, view: ServerView, outcome: OrderOutcome, now_s: float) -> bool:
         """Note whether a server answers; return whether its answer counts."""
         match outcome:
@@ -293,6 +306,7 @@
                     self._log.bind(server=view.life).info("A server answers again.")
                 view.heard_s = now_s
                 view.silent_since_s = None
+                view.unanswered = 0
                 return True
             case OrderOutcome.OTHER_LIFE:
                 self.lose_server(view, "another lifetime answers")
--- a/libs/coordination/src/catkinknot/coordination/_orders.py
+++ b/libs/coordination/src/catkinknot/coordination/_orders.py
@@ -26,7 +26,7 @@
 RETRY_S = 0.15
 """Pause before an order is sent again."""
 
-SENDERS = 24
+SENDERS = 40
 """Orders that are under way at once."""
 
 
@@ -100,6 +100,7 @@
             self._log.bind(
                 task=run.task, run=run.run, server=view.life, answer=reply.outcome.value
             ).info("A start was sent.")
+            board.note_order(view, reply.outcome is not OrderOutcome.SILENT)
             if self._started(board, view, run, reply):
                 return
             if reply.outcome is OrderOutcome.SILENT:
@@ -124,6 +125,9 @@
                 return None
             if run.stopping:
                 return None
+            if view.silent_since_s is not None and not run.doubtful:
+                board.end_unstarted(view, run, "its server does not answer")
+                return None
             job = board.jobs[run.key.job].job
             task = board.jobs[run.key.job].steps[run.key].tasks[run.index]
             now_s = self._clock.now()
@@ -169,10 +173,15 @@
         for _ in range(STOP_TRIES):
             if self._stopped.is_set() or view.listing is None:
                 return
+            if view.silent_since_s is not None:
+                # The stop is repeated when the server answers again; until
+                # then it would only hold up the orders to others.
+                return
             reply = self._calls.stop(view.listing, StopOrder(run.task, run.run, self._token))
             self._log.bind(
                 task=run.task, run=run.run, server=view.life, answer=reply.outcome.value
             ).info("A stop was sent.")
+            board.note_order(view, reply.outcome is not OrderOutcome.SILENT)
             match reply.outcome:
                 case OrderOutcome.FENCED:
                     self._on_fenced()
--- a/libs/coordination/src/catkinknot/coordination/_views.py
+++ b/libs/coordination/src/catkinknot/coordination/_views.py
@@ -69,8 +69,10 @@
         seen_end: Highest end that is in the ledger.
         read_end: Highest end that was read.
         heard_s: When it last answered, None if it never did.
+        silent_since_s: When it first failed to answer, None while it answers.
+        unanswered: Orders in a row that got no answer.
         watched: Whether a thread renews its lease.
-        failures: Failed runs of different jobs in a row.
+        failed_jobs: Jobs whose runs failed there, with none done since.
         suspect_until_s: Until when it gets no new work.
     """
 
@@ -85,8 +87,8 @@
     read_end: int = 0
     heard_s: float | None = None
     silent_since_s: float | None = None
+    unanswered: int = 0
     watched: bool = False
-    failures: int = 0
     failed_jobs: set[str] = field(default_factory=set)
     suspect_until_s: float = 0.0
 
--- a/libs/coordination/tests/test_leader.py
+++ b/libs/coordination/tests/test_leader.py
@@ -130,6 +130,23 @@
         self.play(LONGEST_LEASE_S + 3.0)
         self.assertEqual(self.first.phase("a" * 16), JobPhase.COMPLETED)
 
+    def test_silent_server_holds_up_nobody(self) -> None:
+        """Orders to a server that is cut off do not keep the senders busy.
+
+        Seen on a played day with a zone cut off: stops to its servers took
+        all senders, and those to the others came seconds late.
+        """
+        server = self.world.servers.by_id["s0"]
+        self.submit(job("a" * 16, step(8)))
+        self.play(0.5)
+        server.faults.silent = True
+        asked = []
+        reach = self.world.servers._reach
+        self.world.servers._reach = lambda to, order: asked.append(order) or reach(to, order)
+        self.second.desk.cancel("a" * 16, DEADLINE_S)
+        self.play(3.0)
+        self.assertLessEqual(len(asked), 8)
+
     def test_reborn_server_has_lost_its_work(self) -> None:
         """Work of an earlier lifetime starts again without waiting for its lease."""
         self.submit(job("a" * 16))
