Lead again sooner after a stop or a loss of all instances

The mark that the lost leader had left in the store counted as a sign of life, so nobody claimed for another 1.6 s; a leader that was stopped as planned left the same gap. Change: a mark that was read from the newest records is no sign of life; a leader that is told to stop says so in its last mark.

--- a/app/src/catkinknot/node/_node.py
+++ b/app/src/catkinknot/node/_node.py
@@ -196,7 +196,7 @@
         """Take the newest record of each key of the ledger."""
         self.book.replace(records)
         if LEAD_KEY in records:
-            self.election.on_mark(records[LEAD_KEY])
+            self.election.on_mark(records[LEAD_KEY], fresh=False)
         leader = self.election.leading
         if leader is not None:
             leader.take_changes(entry.job.id for entry in self.book.entries())
@@ -325,6 +325,7 @@
             pass
         log.info("The instance is told to stop.")
         node.stopping.set()
+        node.election.resign()
         node.clock.sleep(drained_s)
     log.info("The instance has stopped.")
 
--- a/libs/coordination/src/catkinknot/coordination/_election.py
+++ b/libs/coordination/src/catkinknot/coordination/_election.py
@@ -21,6 +21,12 @@
 SILENCE_S = 1.6
 """Time without a mark of the leader after which another may claim."""
 
+FIRST_SILENCE_S = 0.7
+"""The same for an instance that has just started; a leader marks more often than this."""
+
+RESIGN_S = 0.2
+"""Time for the last mark of a leader that resigns to be written."""
+
 HEARD_S = 0.8
 """A candidate must have heard from the store this lately."""
 
@@ -66,15 +72,21 @@
         self._clock = clock
         self._make_leader = make_leader
         self._patience_s = SILENCE_S + SPREAD_S * (zlib.crc32(instance.encode()) % 16) / 16
-        self._marked_s = clock.now() - SILENCE_S + LOOK_S
+        self._marked_s = clock.now() - SILENCE_S + FIRST_SILENCE_S
         self._nonce = ""
-        self._resigned = False
+        self._resigned = threading.Event()
         self._log = logger.bind(part="election")
         self.epoch = 0
         self.leading: Leader | None = None
 
-    def on_mark(self, value: bytes) -> None:
-        """Take the mark of a leader."""
+    def on_mark(self, value: bytes, *, fresh: bool = True) -> None:
+        """Take the mark of a leader.
+
+        Args:
+            value: The mark.
+            fresh: Whether it was written just now. One that lay in the store
+                may be of a leader that is long gone.
+        """
         try:
             mark = json.loads(value)
             epoch, nonce = int(mark["epoch"]), str(mark["nonce"])
@@ -86,13 +98,22 @@
         if epoch >= self.epoch:
             self.epoch = epoch
             self._nonce = nonce
-            self._marked_s = self._clock.now()
-            self._resigned = bool(mark.get("resigned"))
+            if mark.get("resigned"):
+                self._marked_s = float("-inf")
+            elif fresh:
+                self._marked_s = self._clock.now()
+
+    def resign(self) -> None:
+        """Cease to lead, and never lead again; the instance is about to stop."""
+        self._resigned.set()
+        leader = self.leading
+        if leader is not None:
+            leader.resign()
 
     def run(self, stopped: threading.Event) -> None:
         """Follow, claim and lead until stopped."""
         while not stopped.wait(LOOK_S):
-            if not self._vacant():
+            if self._resigned.is_set() or not self._vacant():
                 continue
             try:
                 claim = self._claim()
@@ -107,7 +128,7 @@
         now_s = self._clock.now()
         if self._tail.next_offset is None or now_s - self._tail.heard_s > HEARD_S:
             return False
-        return self._resigned or now_s - self._marked_s > self._patience_s
+        return now_s - self._marked_s > self._patience_s
 
     def _claim(self) -> Claim | None:
         """Claim the next epoch; return None if another was faster."""
@@ -148,7 +169,10 @@
                 # Changes that came during the take-over went to nobody.
                 leader.take_all()
                 while not stopped.wait(LOOK_S) and not leader.deposed:
-                    pass
+                    if self._resigned.is_set():
+                        # The mark needs a moment to be written.
+                        stopped.wait(RESIGN_S)
+                        break
         except StoreError as exc:
             self._log.bind(reason=exc.message).warning("Taking over did not succeed.")
         finally:
--- a/libs/coordination/src/catkinknot/coordination/_leader.py
+++ b/libs/coordination/src/catkinknot/coordination/_leader.py
@@ -21,9 +21,9 @@
 from ._board import Board
 from ._orders import Orders
 from ._planner import Planner
-from ._recorder import Recorder
+from ._recorder import Recorder, lead_mark
 from ._servers import ServerCalls, ServerListing
-from ._store import RUNS, Store
+from ._store import JOBS, RUNS, Store
 from ._views import RunView, ServerView
 from ._watch import Watcher
 from .exceptions import StoreError
@@ -77,6 +77,7 @@
     ) -> None:
         """Wire the parts of one leadership; use `lead`."""
         self._claim = claim
+        self._instance = instance
         self._store = store
         self._book = book
         self._listing = listing
@@ -157,6 +158,11 @@
         self.stopped.set()
         self.board.changed.set()
 
+    def resign(self) -> None:
+        """Have a mark written that lets another instance take over at once."""
+        mark = lead_mark(self._claim.epoch, self._instance, self._claim.nonce, resigned=True)
+        self.recorder.put(JOBS, mark.key, mark.value)
+
     def close(self) -> None:
         """End this leadership and wait for its threads."""
         self.depose()
--- a/libs/coordination/src/catkinknot/coordination/_planner.py
+++ b/libs/coordination/src/catkinknot/coordination/_planner.py
@@ -33,7 +33,7 @@
 URGENT_EVICTION = 2.5
 """Work that may be thrown away for urgent work, as a multiple of its own."""
 
-EVICTION = 0.5
+EVICTION = 0.25
 """The same for other work."""
 
 
--- a/libs/coordination/src/catkinknot/coordination/_recorder.py
+++ b/libs/coordination/src/catkinknot/coordination/_recorder.py
@@ -23,9 +23,11 @@
 """Pause before an append that failed is sent again."""
 
 
-def lead_mark(epoch: int, instance: str, nonce: str) -> Record:
-    """Return the record that says who leads."""
+def lead_mark(epoch: int, instance: str, nonce: str, *, resigned: bool = False) -> Record:
+    """Return the record that says who leads, or who has ceased to."""
     body = {"epoch": epoch, "instance": instance, "nonce": nonce}
+    if resigned:
+        body["resigned"] = True
     return Record(LEAD_KEY, json.dumps(body, separators=(",", ":")).encode())
 
 
@@ -104,7 +106,7 @@
             for keys in self._dirty.values():
                 keys.clear()
         if self._clock.now() - self._marked_s >= MARK_S:
-            batches[JOBS][self._mark.key] = self._mark.value
+            batches[JOBS].setdefault(self._mark.key, self._mark.value)
         for topic, keys in batches.items():
             if topic == JOBS and not keys:
                 continue
--- a/libs/coordination/tests/stepping.py
+++ b/libs/coordination/tests/stepping.py
@@ -209,7 +209,7 @@
         """Take the newest record of every key."""
         self.book.replace(records)
         if LEAD_KEY in records:
-            self.election.on_mark(records[LEAD_KEY])
+            self.election.on_mark(records[LEAD_KEY], fresh=False)
         self._tell([entry.job.id for entry in self.book.entries()])
 
     def _take_records(self, records) -> None:
--- a/libs/coordination/tests/test_leader.py
+++ b/libs/coordination/tests/test_leader.py
@@ -229,6 +229,36 @@
         self.second.election._lead(claim, stopped)
         self.assertIn("b" * 16, leader.board.jobs)
 
+    def test_old_mark_keeps_nobody_waiting(self) -> None:
+        """After all instances were lost, the first one back leads within a second.
+
+        Seen in a recorded incident: the mark that the lost leader had left in
+        the store was taken for a sign of life, and callers waited for 2 s more.
+        """
+        fresh = Instance(self.world, "fresh")
+        self.assertFalse(fresh.election._vacant())
+        self.world.clock.advance(1.2)
+        fresh.tail.catch_up()
+        self.assertTrue(fresh.election._vacant())
+
+    def test_leader_that_stops_hands_over(self) -> None:
+        """After a resignation another instance leads at once, the same one never."""
+        self.first.leader.resign()
+        self.first.step()
+        self.first.leader.depose()
+        self.second.tail.catch_up()
+        self.assertTrue(self.second.election._vacant())
+        self.second.lead()
+        self.submit(job("a" * 16))
+        play(self.world, [self.second], 4.0)
+        self.assertEqual(self.second.phase("a" * 16), JobPhase.COMPLETED)
+
+    def test_living_leader_is_left_alone(self) -> None:
+        """A new instance that hears a leader's mark claims nothing."""
+        fresh = Instance(self.world, "fresh")
+        play(self.world, [self.first, fresh], 5.0)
+        self.assertFalse(fresh.election._vacant())
+
     def test_all_instances_lost(self) -> None:
         """New instances learn everything from the store."""
         self.submit(job("a" * 16, step(3)), job("b" * 16, step(2), step(2, after=(0,))))
