--- a/libs/coordination/src/catkinknot/coordination/_board.py
+++ b/libs/coordination/src/catkinknot/coordination/_board.py
@@ -19,7 +19,7 @@
     write_step,
 )
 from catkinknot.model import Clock
-from catkinknot.packing import Estimates, Occupant, Room
+from catkinknot.packing import Occupant, Room
 
 from ._recorder import Recorder
 from ._servers import EndRow, HoldAnswer, Listing, OrderOutcome, RunRow
@@ -52,7 +52,6 @@
         jobs: Jobs by identity.
         servers: Servers by lifetime.
         changed: Set when there may be something to decide.
-        estimates: What was learned of run times.
         send_stop: Sends the order to stop a run, with a reason.
     """
 
@@ -81,7 +80,6 @@
         self._log = logger.bind(part="board")
         self.lock = threading.RLock()
         self.changed = threading.Event()
-        self.estimates = Estimates()
         self.jobs: dict[str, JobView] = {}
         self.servers: dict[str, ServerView] = {}
 
@@ -121,7 +119,6 @@
             server = self._server_of(task.server)
             run = RunView(key.task(i), key, i, task.run, self._clock.now(), settled_s=float("-inf"))
             run.checkpoint = task.checkpoint
-            run.resumed = True
             server.admit(run, self._occupant(state, i))
             server.ends_s = max(server.ends_s, self._inherited_end_s)
 
@@ -255,7 +252,6 @@
                 run = RunView(
                     state.key.task(i), state.key, i, state.tasks[i].run, self._clock.now()
                 )
-                run.resumed = bool(state.tasks[i].checkpoint)
                 view = self.servers[life]
                 view.admit(run, self._occupant(state, i))
                 started.append((view, run))
@@ -363,18 +359,8 @@
         if run is None or run.run != row.run:
             return
         self._blame(view, run, row.how)
-        self._learn(run, row.how)
         self._end_run(view, run, row.how, row.checkpoint or run.checkpoint)
 
-    def _learn(self, run: RunView, how: Ended) -> None:
-        """Learn from a run that did all of its work and ended well."""
-        job = self.jobs.get(run.key.job)
-        if how is not Ended.DONE or job is None or run.moved_s is None or run.resumed:
-            return
-        declared_ms = job.job.steps[run.key.step].estimate_ms
-        actual_ms = (self._clock.now() - run.assigned_s) * 1000
-        self.estimates.note(job.job.policy.queue, declared_ms, actual_ms)
-
     def _blame(self, view: ServerView, run: RunView, how: Ended) -> None:
         """Set a server aside that fails many different jobs in a row."""
         if how is Ended.DONE:
--- a/libs/coordination/src/catkinknot/coordination/_planner.py
+++ b/libs/coordination/src/catkinknot/coordination/_planner.py
@@ -5,7 +5,7 @@
 
 from loguru import logger
 
-from catkinknot.jobs import Configuration, Step, StepKey, StepState
+from catkinknot.jobs import Configuration, StepKey, StepState
 from catkinknot.model import Clock
 from catkinknot.packing import Placement, Prospect, Wanting, choose, guaranteed_jobs
 
@@ -28,7 +28,7 @@
 """A step stops others when it could wait no longer than this."""
 
 URGENT_WAIT_S = 0.4
-"""How long urgent work waits for room before it stops others."""
+"""How long work on a guarantee waits for room before it stops others."""
 
 URGENT_EVICTION = 2.5
 """Work that may be thrown away for urgent work, as a multiple of its own."""
@@ -142,18 +142,16 @@
         ready_s = view.ready_s.setdefault(state.key, now_s)
         guaranteed = view.job.id in covered
         prospect, slack_s = self._prospect(view, state)
+        waits_s = min(slack_s - MIN_SLACK_S, URGENT_WAIT_S if guaranteed else slack_s)
         urgent = state.job.policy.priority == 0
         ratio = URGENT_EVICTION if urgent else EVICTION
-        in_time = prospect is Prospect.IN_TIME
-        evicts = in_time and slack_s <= MIN_SLACK_S
-        if urgent and now_s - ready_s >= URGENT_WAIT_S:
-            evicts = guaranteed or in_time
         return Wanting(
             state,
             ready_s,
             guaranteed=guaranteed,
             prospect=prospect,
-            evicts=evicts,
+            evicts=(guaranteed and now_s - ready_s >= URGENT_WAIT_S)
+            or (prospect is Prospect.IN_TIME and waits_s <= 0),
             eviction_limit_core_s=float("inf") if guaranteed else ratio * _work_core_s(state),
             suspects=frozenset(view.suspects.get(state.key, ())),
         )
@@ -174,17 +172,12 @@
             for i in range(len(job.steps))
             if (other := view.steps.get(StepKey(job.id, key.occurrence, i))) and other.done
         )
-
-        def estimate(step: Step) -> float:
-            return self._board.estimates.of(job.policy.queue, step.estimate_ms)
-
-        left_ms = job.chain_ms(done=done, estimate=estimate)
-        objective_ms = job.objective_ms(estimate=estimate)
+        left_ms = job.chain_ms(done=done)
         age_ms = self._clock.wall() * 1000 - job.due_ms(key.occurrence)
-        slack_ms = objective_ms - age_ms - left_ms
-        if age_ms > LATE_FACTOR * objective_ms:
+        slack_ms = job.objective_ms() - age_ms - left_ms
+        if age_ms > LATE_FACTOR * job.objective_ms():
             return Prospect.NOTHING, 0.0
-        late = slack_ms < -LATE_MARGIN * objective_ms
+        late = slack_ms < -LATE_MARGIN * job.objective_ms()
         return (Prospect.LATE if late else Prospect.IN_TIME), slack_ms / 1000
 
     def _act(self, one: Wanting, placement: Placement) -> None:
--- a/libs/coordination/src/catkinknot/coordination/_views.py
+++ b/libs/coordination/src/catkinknot/coordination/_views.py
@@ -36,7 +36,6 @@
         saved_s: When that progress was seen first.
         percent: Progress, as the server says.
         moved_s: When that progress changed last, None before the server listed it.
-        resumed: Whether this leader can't tell how long all of its work takes.
     """
 
     task: str
@@ -53,7 +52,6 @@
     saved_s: float = 0.0
     percent: int = 0
     moved_s: float | None = None
-    resumed: bool = False
 
 
 @dataclass(slots=True)
--- a/libs/jobs/src/catkinknot/jobs/_spec.py
+++ b/libs/jobs/src/catkinknot/jobs/_spec.py
@@ -1,6 +1,5 @@
 """Describe a job: its steps, what a task needs, and the policy of its queue."""
 
-from collections.abc import Callable
 from dataclasses import dataclass, field
 
 __all__ = ["Advice", "Job", "Policy", "Resources", "Schedule", "Step"]
@@ -205,31 +204,18 @@
         """Return when an occurrence may start, in milliseconds since 1970."""
         return self.schedule.due_ms(occurrence) if self.schedule else self.accepted_ms
 
-    def chain_ms(
-        self,
-        *,
-        done: frozenset[int] = frozenset(),
-        estimate: Callable[[Step], float] = lambda step: step.estimate_ms,
-    ) -> float:
-        """Return the time of the longest chain of steps, in milliseconds.
+    def chain_ms(self, *, done: frozenset[int] = frozenset()) -> int:
+        """Return the declared time of the longest chain of steps.
 
         Args:
             done: Steps that need no more time.
-            estimate: Returns the run time of a step's tasks; as declared by
-                default.
         """
-        ends: list[float] = []
+        ends: list[int] = []
         for i, step in enumerate(self.steps):
-            start = max((ends[j] for j in step.after if j < i), default=0.0)
-            ends.append(start + (0.0 if i in done else estimate(step)))
-        return max(ends, default=0.0)
+            start = max((ends[j] for j in step.after if j < i), default=0)
+            ends.append(start + (0 if i in done else step.estimate_ms))
+        return max(ends, default=0)
 
-    def objective_ms(
-        self, *, estimate: Callable[[Step], float] = lambda step: step.estimate_ms
-    ) -> float:
-        """Return the time within which an occurrence should end.
-
-        Args:
-            estimate: Returns the run time of a step's tasks.
-        """
-        return self.policy.stretch * self.chain_ms(estimate=estimate) + self.policy.target_ms
+    def objective_ms(self) -> float:
+        """Return the time within which an occurrence should end."""
+        return self.policy.stretch * self.chain_ms() + self.policy.target_ms
--- a/libs/packing/src/catkinknot/packing/__init__.py
+++ b/libs/packing/src/catkinknot/packing/__init__.py
@@ -1,12 +1,10 @@
 """Choose servers for tasks by processor, memory and accelerators."""
 
-from ._estimates import Estimates
 from ._place import Groups, Placement, Request, place, place_by_eviction
 from ._plan import Prospect, Wanting, choose, guaranteed_jobs
 from ._room import Occupant, Room
 
 __all__ = [
-    "Estimates",
     "Groups",
     "Occupant",
     "Placement",
