Space out the tries of callers while the store is away

Change: a later try waits up to 0.75 s for the store and is stored if it returns; a first try is still refused at once.

--- a/libs/coordination/src/catkinknot/coordination/_desk.py
+++ b/libs/coordination/src/catkinknot/coordination/_desk.py
@@ -40,6 +40,8 @@
 FIRST_TRY_MS = 200
 """A call that has used up less of its time than this is its caller's first."""
 
+STORE_AWAY = "the store is away"
+
 REFUSAL_S = 1
 """When a caller should come back after a refusal, in seconds."""
 
@@ -129,8 +131,11 @@
             self._say(job.id, "A repeated submit is the same job.", Verdict.ACCEPTED)
             return Answer(Verdict.ACCEPTED)
         left_ms = int((deadline_s - self._clock.now()) * 1000)
-        if self._store_away():
-            verdict, reason = self._turn_away(left_ms, timeout_ms)
+        if self._store_away() and timeout_ms and timeout_ms - left_ms <= FIRST_TRY_MS:
+            # Nothing of this job can be on its way into the store yet.
+            verdict, reason = Verdict.REFUSED, STORE_AWAY
+        elif self._store_away() and not self._await_store(deadline_s):
+            verdict, reason = Verdict.UNSURE, STORE_AWAY
         else:
             verdict, reason = self._append(Record(job.id, write_job(job)), deadline_s)
         self._say(
@@ -148,18 +153,15 @@
         """Tell whether the store is known not to answer."""
         return self._clock.now() - self._tail.heard_s > AWAY_S
 
-    def _turn_away(self, left_ms: int, timeout_ms: int) -> tuple[Verdict, str]:
-        """Answer a submit at once that can't be stored now.
-
-        Only a caller's first try is known not to be on its way into the store
-        through another instance.
+    def _await_store(self, deadline_s: float) -> bool:
+        """Wait a moment for the store; return whether it is back.
 
-        Args:
-            left_ms: What is left of the caller's time.
-            timeout_ms: How long it waits in all.
+        A caller that tries again at once would only use up its tries.
         """
-        first = timeout_ms and timeout_ms - left_ms <= FIRST_TRY_MS
-        return (Verdict.REFUSED if first else Verdict.UNSURE), "the store is away"
+        end_s = min(deadline_s, self._clock.now() + SILENT_S)
+        while self._store_away() and self._clock.now() + RETRY_S < end_s:
+            self._clock.sleep(RETRY_S)
+        return not self._store_away()
 
     def look(self, job_id: str) -> Answer:
         """Say in which phase a job is."""
