Measure a large fleet's decisions, and describe the new parts

Cause: nothing said what the leader's decisions cost at size, and the pages described the old deployment only.

--- a/libs/jobs/src/catkinknot/jobs/_spec.py
+++ b/libs/jobs/src/catkinknot/jobs/_spec.py
@@ -1,14 +1,14 @@
 """Describe a job: its steps, what a task needs, and the policy of its queue."""
 
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 __all__ = ["Advice", "Job", "Policy", "Resources", "Schedule", "Step"]
 
 MS_PER_S = 1000
 
 
-@dataclass(frozen=True, slots=True)
-class Resources:
+class Resources(NamedTuple):
     """Count what a task takes or a server has.
 
     Attributes:
@@ -47,16 +47,14 @@
 
     def times_in(self, room: "Resources") -> int:
         """Return how many of this fit in a room."""
-        ratios = [
-            have // need
-            for need, have in (
-                (self.cpu_milli, room.cpu_milli),
-                (self.memory_mb, room.memory_mb),
-                (self.accelerators, room.accelerators),
-            )
-            if need > 0
-        ]
-        return max(0, min(ratios)) if ratios else UNLIMITED
+        times = UNLIMITED
+        if self.cpu_milli:
+            times = room.cpu_milli // self.cpu_milli
+        if self.memory_mb:
+            times = min(times, room.memory_mb // self.memory_mb)
+        if self.accelerators:
+            times = min(times, room.accelerators // self.accelerators)
+        return max(0, times)
 
 
 UNLIMITED = 1_000_000
--- a/measure/__main__.py
+++ b/measure/__main__.py
@@ -6,6 +6,7 @@
 
 from ._blame import measure_blame
 from ._decisions import measure_decisions
+from ._fleet import measure_fleet
 from ._plots import draw
 from ._poll import measure_poll
 from ._report import HEAD, Report
@@ -21,6 +22,7 @@
     "blame": measure_blame,
     "timeline": measure_time_line,
     "poll": measure_poll,
+    "fleet": measure_fleet,
 }
 
 
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -5,8 +5,10 @@
 
 import write_codes
 
+from catkinknot.app._cli import Verbs
 from catkinknot.app._entry import _Root
 from catkinknot.journal import Metrics
+from catkinknot.node._counts import NodeCounts
 
 DOCS = Path(__file__).resolve().parent.parent / "docs" / "reference"
 
@@ -23,6 +25,15 @@
         page = (DOCS / "metrics.md").read_text()
         for collector in Metrics()._registry.get_all():
             self.assertIn(collector.name, page)
+        for collector in NodeCounts()._registry.get_all():
+            self.assertIn(collector.name, page)
+
+    def test_verbs(self):
+        """Every verb is described."""
+        page = (DOCS / "cli.md").read_text()
+        verbs = [name for name in vars(Verbs) if not name.startswith("_")]
+        for verb in verbs:
+            self.assertIn(f"`{verb}", page)
 
     def test_paths(self):
         """Every resource is described."""
