Repeat the stop of a run that had begun until its server answers

Ruled out: the cancel (it was recorded and read), the lease (it was renewed, rightly). Change: whether a stop was answered is kept by itself.

--- a/libs/coordination/src/catkinknot/coordination/_chase.py
+++ b/libs/coordination/src/catkinknot/coordination/_chase.py
@@ -23,7 +23,7 @@
         if view.silent_since_s is not None:
             continue
         for run in list(view.runs.values()):
-            open_stop = run.stopping and run.settled_s is None
+            open_stop = run.stopping and not run.stop_heard
             if open_stop and now_s - run.told_s > STOP_AGAIN_S:
                 run.told_s = now_s
                 board.send_stop(view, run, "the last stop got no answer")
--- a/libs/coordination/src/catkinknot/coordination/_orders.py
+++ b/libs/coordination/src/catkinknot/coordination/_orders.py
@@ -193,5 +193,6 @@
                     self._stopped.wait(RETRY_S)
                 case _:
                     with board.lock:
+                        run.stop_heard = True
                         run.settled_s = self._clock.now()
                     return
--- a/libs/coordination/src/catkinknot/coordination/_views.py
+++ b/libs/coordination/src/catkinknot/coordination/_views.py
@@ -31,6 +31,7 @@
         confirmed: Whether the server has said that it is there.
         stopping: Whether it has been told to stop.
         told_s: When it was last told to stop.
+        stop_heard: Whether its server has answered that.
         doubtful: Whether an order to start it got no answer.
         checkpoint: Latest progress the server has saved.
         saved_s: When that progress was seen first.
@@ -47,6 +48,7 @@
     confirmed: bool = False
     stopping: bool = False
     told_s: float = 0.0
+    stop_heard: bool = False
     doubtful: bool = False
     checkpoint: str = ""
     saved_s: float = 0.0
--- a/libs/coordination/tests/test_leader.py
+++ b/libs/coordination/tests/test_leader.py
@@ -115,6 +115,9 @@
 class TestLostServers(Base):
     """Move the work of servers that are gone."""
 
+    CANCEL_S = 3.0
+    """By when cancelled work is gone from a server in reach, as users were promised."""
+
     servers = 1
 
     def test_silent_server_is_waited_out(self) -> None:
@@ -147,6 +150,24 @@
         self.play(3.0)
         self.assertLessEqual(len(asked), 8)
 
+    def test_stop_without_answer_is_repeated(self) -> None:
+        """A cancelled job's work is stopped once its server can be reached again.
+
+        Seen once in a hunt (mix 931517161527 at Vltava): the stop of a run
+        that had begun was lost in a cut, never sent again, and the run went
+        on to its end.
+        """
+        server = self.world.servers.by_id["s0"]
+        server.work_s = 60.0
+        self.submit(job("a" * 16))
+        self.play(1.0)
+        server.faults.silent = True
+        self.second.desk.cancel("a" * 16, DEADLINE_S)
+        self.play(3.0)
+        server.faults.silent = False
+        self.play(self.CANCEL_S)
+        self.assertEqual(self.world.running(), {})
+
     def test_reborn_server_has_lost_its_work(self) -> None:
         """Work of an earlier lifetime starts again without waiting for its lease."""
         self.submit(job("a" * 16))
