--- a/libs/coordination/src/catkinknot/coordination/_chase.py
+++ b/libs/coordination/src/catkinknot/coordination/_chase.py
@@ -1,17 +1,23 @@
-"""Chase what does not move: stops without an answer, and runs that stand still."""
+"""Chase what does not move, and drop what is over."""
 
+from catkinknot.jobs import CANCEL_SUFFIX, PHASE_SUFFIX
 from catkinknot.model import Clock
 
 from ._board import SET_ASIDE_S, Board
+from ._recorder import Recorder
+from ._store import JOBS, RUNS
 from ._views import RunView, ServerView
 
-__all__ = ["repeat_stops", "stop_stuck"]
+__all__ = ["drop_ended", "repeat_stops", "stop_stuck"]
 
 STUCK_S = 4.0
 """A run without progress for this long stands still."""
 
 DONE_PERCENT = 100
 
+KEPT_S = 300.0
+"""How long the state of a job can be read after its end; callers need 120 s."""
+
 STOP_AGAIN_S = 1.0
 """Time after which a stop that was not confirmed is sent again."""
 
@@ -45,6 +51,25 @@
                 _give_up(board, view, run, now_s)
 
 
+def drop_ended(board: Board, recorder: Recorder, clock: Clock) -> None:
+    """Drop the records of jobs that ended long ago and have nothing running."""
+    now_s = clock.now()
+    busy = {run.key.job for view in board.servers.values() for run in view.runs.values()}
+    for view in list(board.jobs.values()):
+        if not view.phase.final or view.job.id in busy:
+            continue
+        if view.ended_s is None:
+            # An earlier leader saw it end; its time starts anew here.
+            view.ended_s = now_s
+        if now_s - view.ended_s < KEPT_S:
+            continue
+        for key in view.steps:
+            recorder.put(RUNS, str(key), b"")
+        for suffix in (CANCEL_SUFFIX, PHASE_SUFFIX, ""):
+            recorder.put(JOBS, view.job.id + suffix, b"")
+        board.forget_job(view.job.id)
+
+
 def _is_stuck(board: Board, run: RunView, now_s: float) -> bool:
     """Tell whether a run has stood still for too long."""
     job = board.jobs.get(run.key.job)
--- a/libs/coordination/src/catkinknot/coordination/_leader.py
+++ b/libs/coordination/src/catkinknot/coordination/_leader.py
@@ -117,7 +117,13 @@
             lease_end=self._lease_end,
             on_fenced=self.depose,
         )
-        self._planner = Planner(self.board, clock=clock, config=config, start=self._start_runs)
+        self._planner = Planner(
+            self.board,
+            recorder=self.recorder,
+            clock=clock,
+            config=config,
+            start=self._start_runs,
+        )
         self._threads: list[threading.Thread] = []
 
     def begin(self) -> None:
--- a/libs/coordination/src/catkinknot/coordination/_planner.py
+++ b/libs/coordination/src/catkinknot/coordination/_planner.py
@@ -10,7 +10,8 @@
 from catkinknot.packing import Placement, Prospect, Wanting, choose, guaranteed_jobs
 
 from ._board import ACCELERATOR_CORES, Board
-from ._chase import repeat_stops, stop_stuck
+from ._chase import drop_ended, repeat_stops, stop_stuck
+from ._recorder import Recorder
 from ._views import JobView, RunView, ServerView
 
 __all__ = ["Planner"]
@@ -57,6 +58,7 @@
         self,
         board: Board,
         *,
+        recorder: Recorder,
         clock: Clock,
         config: Callable[[], Configuration | None],
         start: Callable[[list[tuple[ServerView, RunView]]], None],
@@ -65,11 +67,13 @@
 
         Args:
             board: What is known.
+            recorder: Writes what must last.
             clock: Where time comes from.
             config: Returns the configuration in force.
             start: Starts runs once their record is in the store.
         """
         self._board = board
+        self._recorder = recorder
         self._clock = clock
         self._config = config
         self._start = start
@@ -84,6 +88,7 @@
             board.lose_overdue()
             repeat_stops(board, self._clock)
             stop_stuck(board, self._clock)
+            drop_ended(board, self._recorder, self._clock)
             board.refresh_rooms()
             self._protect()
             self._use_kept_room()
--- a/libs/coordination/tests/test_leader.py
+++ b/libs/coordination/tests/test_leader.py
@@ -5,7 +5,7 @@
 
 from stepping import LONGEST_LEASE_S, Instance, World, job, play, step
 
-from catkinknot.coordination import Verdict
+from catkinknot.coordination import JOBS, RUNS, Verdict
 from catkinknot.jobs import Ended, JobPhase
 
 DEADLINE_S = 1e9
@@ -38,6 +38,9 @@
 class TestServing(Base):
     """Serve jobs on a calm day."""
 
+    STATUS_S = 120.0
+    """How long the state of an ended job can be read, as users were promised."""
+
     def test_job_completes(self) -> None:
         """A job of two steps runs them in turn."""
         self.submit(job("a" * 16, step(3), step(2, after=(0,))))
@@ -72,6 +75,20 @@
         self.assertEqual(self.world.running(), {})
         self.assertEqual(self.first.phase("a" * 16), JobPhase.CANCELLED)
 
+    def test_ended_job_is_dropped(self) -> None:
+        """A job can be read for its promised time, and its records go later."""
+        self.submit(job("a" * 16, step(2)))
+        self.play(3.0)
+        self.world.clock.advance(self.STATUS_S)
+        self.play(0.5)
+        self.assertEqual(self.second.phase("a" * 16), JobPhase.COMPLETED)
+        self.world.clock.advance(600.0)
+        self.play(0.5)
+        for topic in (JOBS, RUNS):
+            self.assertEqual(set(self.second.store.newest(topic).records), {"/lead"})
+        self.second.tail.catch_up()
+        self.assertIsNone(self.second.book.get("a" * 16))
+
     def test_failing_job_is_given_up(self) -> None:
         """A task that fails as often as its queue allows ends its job."""
         for server in self.world.servers.all():
--- a/tools/build_binary.py
+++ b/tools/build_binary.py
@@ -94,7 +94,7 @@
 
 def _copy_own(stage: Path) -> None:
     """Copy the workspace's libraries and the app."""
-    for source in [*ROOT.glob("libs/*/src"), ROOT / "app" / "src"]:
+    for source in [*ROOT.glob("libs/*/src"), ROOT / "app" / "src", ROOT / "platform" / "src"]:
         shutil.copytree(source, stage, dirs_exist_ok=True, ignore=_ignored)
 
 
