--- a/tools/build_binary.py
+++ b/tools/build_binary.py
@@ -43,6 +43,8 @@
     for folder in (f"/run/user/{{os.getuid()}}", "/run", "/tmp"):
         if folder in backed and os.access(folder, os.W_OK):
             yield folder
+    # A machine without disks has memory here in any case.
+    yield "/tmp"
 
 
 def unpack(archive):
@@ -65,7 +67,7 @@
 
             shutil.rmtree(part)
         return target
-    sys.exit("catkinknot: no memory-backed folder to unpack into; set CATKINKNOT_UNPACK_DIR")
+    sys.exit("catkinknot: no folder to unpack into; set CATKINKNOT_UNPACK_DIR")
 
 
 if __name__ == "__main__":
