--- a/libs/coordination/src/catkinknot/coordination/_planner.py
+++ b/libs/coordination/src/catkinknot/coordination/_planner.py
@@ -1,5 +1,6 @@
 """Give waiting tasks to servers, and stop what is in their way."""
 
+from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -7,7 +8,16 @@
 
 from catkinknot.jobs import Configuration, StepKey, StepState
 from catkinknot.model import Clock
-from catkinknot.packing import Placement, Prospect, Wanting, choose, guaranteed_jobs
+from catkinknot.packing import (
+    Demand,
+    Placement,
+    Prospect,
+    Room,
+    Wanting,
+    choose,
+    guaranteed_jobs,
+    keep_clear,
+)
 
 from ._board import ACCELERATOR_CORES, Board
 from ._chase import drop_ended, repeat_stops, stop_stuck
@@ -78,6 +88,7 @@
         self._config = config
         self._start = start
         self._kept: dict[StepKey, _Kept] = {}
+        self._demand: dict[str, Demand] = {}
         self._log = logger.bind(part="planner")
 
     def plan(self) -> None:
@@ -96,9 +107,23 @@
             if not wanting:
                 return
             rooms = [view.room for view in board.servers.values()]
-            for one, placement in choose(wanting, rooms, self._clock.now()):
+            kept = self._keep_clear(rooms, wanting)
+            for one, placement in choose(wanting, rooms, self._clock.now(), kept=kept):
                 self._act(one, placement)
 
+    def _keep_clear(self, rooms: list[Room], wanting: list[Wanting]) -> frozenset[str]:
+        """Return the servers of each pool that are kept for urgent work."""
+        kept: set[str] = set()
+        pools: dict[str, list[Room]] = defaultdict(list)
+        for room in rooms:
+            if room.open:
+                pools[room.service].append(room)
+        for service, members in pools.items():
+            demand = self._demand.setdefault(service, Demand())
+            demand.note(self._clock.now(), _urgent_accelerators(service, members, wanting))
+            kept |= keep_clear(members, demand.peak)
+        return frozenset(kept)
+
     def _protect(self) -> None:
         """Say which running tasks their workspace's guarantee covers."""
         covered = self._covered()
@@ -248,6 +273,22 @@
             view.room.reserved.pop(str(key), None)
 
 
+def _urgent_accelerators(service: str, rooms: list[Room], wanting: list[Wanting]) -> int:
+    """Return the accelerators that urgent work of a pool has and waits for."""
+    used = sum(
+        occupant.need.accelerators
+        for room in rooms
+        for occupant in room.occupants.values()
+        if occupant.priority == 0
+    )
+    waits = sum(
+        len(one.state.waiting()) * one.state.step.need.accelerators
+        for one in wanting
+        if one.state.job.policy.priority == 0 and one.state.job.policy.service == service
+    )
+    return used + waits
+
+
 def _work_core_s(state: StepState) -> float:
     """Return the declared work of a step's waiting tasks."""
     each = state.step.need.cpu_milli / 1000 + state.step.need.accelerators * ACCELERATOR_CORES
--- a/libs/packing/src/catkinknot/packing/__init__.py
+++ b/libs/packing/src/catkinknot/packing/__init__.py
@@ -1,10 +1,12 @@
 """Choose servers for tasks by processor, memory and accelerators."""
 
+from ._headroom import Demand, keep_clear
 from ._place import Groups, Placement, Request, place, place_by_eviction
 from ._plan import Prospect, Wanting, choose, guaranteed_jobs
 from ._room import Occupant, Room
 
 __all__ = [
+    "Demand",
     "Groups",
     "Occupant",
     "Placement",
@@ -14,6 +16,7 @@
     "Wanting",
     "choose",
     "guaranteed_jobs",
+    "keep_clear",
     "place",
     "place_by_eviction",
 ]
--- a/libs/packing/src/catkinknot/packing/_plan.py
+++ b/libs/packing/src/catkinknot/packing/_plan.py
@@ -7,6 +7,7 @@
 
 from catkinknot.jobs import Resources, StepState
 
+from ._headroom import half_used
 from ._place import Groups, Placement, Request, place, place_by_eviction
 from ._room import Room
 
@@ -16,6 +17,10 @@
 """Steps that may look for victims in one round; the others wait for the next."""
 
 
+IDLE_PATIENCE_S = 1.0
+"""How long other work leaves the kept servers alone while half of the pool is idle."""
+
+
 class Prospect(IntEnum):
     """Say what a step that gets servers now can still earn its caller."""
 
@@ -83,7 +88,11 @@
 
 
 def choose(
-    wanting: Iterable[Wanting], rooms: list[Room], now_s: float
+    wanting: Iterable[Wanting],
+    rooms: list[Room],
+    now_s: float,
+    *,
+    kept: frozenset[str] = frozenset(),
 ) -> list[tuple[Wanting, Placement]]:
     """Give servers to waiting steps, the most urgent first.
 
@@ -95,9 +104,10 @@
         wanting: What waits.
         rooms: All servers.
         now_s: The present time.
+        kept: Servers on which only urgent work may start.
     """
     chosen = []
-    look = _Look(Groups(rooms))
+    look = _Look(Groups(rooms), kept)
     for one in sorted(wanting, key=lambda w: w.order):
         found = _serve(one, rooms, now_s, look)
         if found is None:
@@ -113,22 +123,34 @@
 
     Attributes:
         groups: Everything that runs, by what is stopped together.
+        kept: Servers on which only urgent work may start.
         evictions: Steps that looked for victims.
         full: What no server has room for; room only shrinks in a round.
+        idle: Whether more than half of a pool was idle, by pool.
     """
 
     groups: Groups
+    kept: frozenset[str]
     evictions: int = 0
     full: set[tuple] = field(default_factory=set)
+    idle: dict[str, bool] = field(default_factory=dict)
+
+    def is_idle(self, service: str, rooms: list[Room]) -> bool:
+        """Tell whether more than half of a pool is idle."""
+        if service not in self.idle:
+            self.idle[service] = not half_used(r for r in rooms if r.service == service)
+        return self.idle[service]
 
 
 def _serve(one: Wanting, rooms: list[Room], now_s: float, look: _Look) -> Placement | None:
     """Find servers for one step, by stopping others where it may."""
     step, policy = one.state.step, one.state.job.policy
-    kind = (step.room, policy.service, step.labels)
+    kind = (step.room, policy.service, step.labels, policy.priority == 0)
     plain = not (one.suspects or step.data_rack or step.max_per_server)
     if kind in look.full and not one.evicts:
         return None
+    if policy.priority and look.kept:
+        rooms = _rooms_of_less_urgent(one, rooms, now_s, look)
     for req in _requests(one, rooms, now_s):
         found = place(req) if kind not in look.full else None
         if found is not None:
@@ -144,6 +166,31 @@
     return None
 
 
+def _rooms_of_less_urgent(one: Wanting, rooms: list[Room], now_s: float, look: _Look) -> list[Room]:
+    """Leave out the kept servers, unless the step would wait for nothing."""
+    step, service = one.state.step, one.state.job.policy.service
+    others = [room for room in rooms if room.server not in look.kept]
+    least = len(one.state.waiting()) if step.gang else 1
+    if not _could_take(one.state, others, least):
+        return rooms
+    if now_s - one.due_s > IDLE_PATIENCE_S and look.is_idle(service, rooms):
+        return rooms
+    return others
+
+
+def _could_take(state: StepState, rooms: Iterable[Room], least: int) -> bool:
+    """Tell whether servers could take some tasks of a step if they were empty."""
+    step = state.step
+    slots = 0
+    for room in rooms:
+        if room.takes(state.job.policy.service, step):
+            fit = step.room.times_in(room.capacity)
+            slots += min(fit, step.max_per_server) if step.max_per_server else fit
+            if slots >= least:
+                return True
+    return False
+
+
 def _requests(one: Wanting, rooms: list[Room], now_s: float) -> list[Request]:
     """Return what to ask for, the best way first."""
     state, step, policy = one.state, one.state.step, one.state.job.policy
