Save servers for gangs that wait

Change: up to three gangs that found no room save the servers on which they will fit first, at most 35 % of a pool; less urgent work goes elsewhere, but never waits for a late gang, an impossible one, or beside an idle half.

--- a/libs/packing/src/catkinknot/packing/_plan.py
+++ b/libs/packing/src/catkinknot/packing/_plan.py
@@ -21,6 +21,13 @@
 """How long other work leaves the kept servers alone while half of the pool is idle."""
 
 
+SAVED_GANGS = 3
+"""Waiting gangs for which less urgent work leaves servers alone."""
+
+SAVED_SHARE = 0.35
+"""Share of a pool's servers that is saved for waiting gangs at most."""
+
+
 class Prospect(IntEnum):
     """Say what a step that gets servers now can still earn its caller."""
 
@@ -111,6 +118,7 @@
     for one in sorted(wanting, key=lambda w: w.order):
         found = _serve(one, rooms, now_s, look)
         if found is None:
+            _save_servers(one, rooms, look)
             continue
         _reserve(one.state, found, rooms)
         chosen.append((one, found))
@@ -127,6 +135,8 @@
         evictions: Steps that looked for victims.
         full: What no server has room for; room only shrinks in a round.
         idle: Whether more than half of a pool was idle, by pool.
+        saved: Servers on which work less urgent than this may not start.
+        gangs: Gangs for which servers are saved.
     """
 
     groups: Groups
@@ -134,6 +144,8 @@
     evictions: int = 0
     full: set[tuple] = field(default_factory=set)
     idle: dict[str, bool] = field(default_factory=dict)
+    saved: dict[str, int] = field(default_factory=dict)
+    gangs: int = 0
 
     def is_idle(self, service: str, rooms: list[Room]) -> bool:
         """Tell whether more than half of a pool is idle."""
@@ -149,7 +161,7 @@
     plain = not (one.suspects or step.data_rack or step.max_per_server)
     if kind in look.full and not one.evicts:
         return None
-    if policy.priority and look.kept:
+    if policy.priority and (look.kept or look.saved):
         rooms = _rooms_of_less_urgent(one, rooms, now_s, look)
     for req in _requests(one, rooms, now_s):
         found = place(req) if kind not in look.full else None
@@ -167,9 +179,14 @@
 
 
 def _rooms_of_less_urgent(one: Wanting, rooms: list[Room], now_s: float, look: _Look) -> list[Room]:
-    """Leave out the kept servers, unless the step would wait for nothing."""
+    """Leave out kept and saved servers, unless the step would wait for nothing."""
     step, service = one.state.step, one.state.job.policy.service
-    others = [room for room in rooms if room.server not in look.kept]
+    priority = one.state.job.policy.priority
+    others = [
+        room
+        for room in rooms
+        if room.server not in look.kept and look.saved.get(room.server, priority) >= priority
+    ]
     least = len(one.state.waiting()) if step.gang else 1
     if not _could_take(one.state, others, least):
         return rooms
@@ -178,6 +195,53 @@
     return others
 
 
+def _save_servers(one: Wanting, rooms: list[Room], look: _Look) -> None:
+    """Save the servers on which a gang that found no room will fit first.
+
+    Otherwise less urgent small tasks take each server as it becomes free, and
+    the gang has to stop them or never runs.
+    """
+    step, policy = one.state.step, one.state.job.policy
+    late = one.prospect is not Prospect.IN_TIME
+    if not step.gang or late or look.gangs >= SAVED_GANGS:
+        return
+    usable = [
+        room for room in rooms if room.takes(policy.service, step) and room.server not in look.saved
+    ]
+    if policy.priority:
+        usable = [room for room in usable if room.server not in look.kept]
+    pool = sum(room.service == policy.service for room in rooms)
+    chosen = _soonest(one.state, usable, policy.priority)
+    if chosen and len(look.saved) + len(chosen) <= SAVED_SHARE * pool:
+        look.saved |= dict.fromkeys(chosen, policy.priority)
+        look.gangs += 1
+
+
+def _soonest(state: StepState, usable: list[Room], priority: int) -> list[str]:
+    """Return the servers on which a gang fits beside work as urgent as itself.
+
+    Those come first whose less urgent work has run the least.
+    """
+    need, wanted = state.step.room, len(state.waiting())
+    offers = []
+    for room in usable:
+        lower = [o for o in room.occupants.values() if o.priority > priority]
+        free = sum((o.need for o in lower), start=room.free(beside=str(state.key)))
+        slots = need.times_in(free)
+        if state.step.max_per_server:
+            slots = min(slots, state.step.max_per_server)
+        if slots:
+            unsaved = sum(o.unsaved_core_s for o in lower)
+            offers.append((unsaved / min(slots, wanted), room.server, slots))
+    chosen = []
+    for _, server, slots in sorted(offers):
+        if wanted <= 0:
+            break
+        chosen.append(server)
+        wanted -= slots
+    return chosen if wanted <= 0 else []
+
+
 def _could_take(state: StepState, rooms: Iterable[Room], least: int) -> bool:
     """Tell whether servers could take some tasks of a step if they were empty."""
     step = state.step
