--- /dev/null
+++ b/soak/_checks.py
@@ -0,0 +1,93 @@
+"""Check the promises of a run from what servers and callers saw."""
+
+import itertools
+from collections import defaultdict
+from collections.abc import Iterable
+
+from catkinknot.jobs import Ended
+
+from ._callers import Work
+from ._outside import CAPACITY, DriftingServer
+
+__all__ = ["check_completed", "check_history"]
+
+
+def check_completed(work: Work, lives: Iterable[DriftingServer]) -> list[str]:
+    """Return what is wrong with a job that is shown as completed.
+
+    Args:
+        work: The job.
+        lives: Every lifetime of every server so far.
+    """
+    done = {task for life in lives for _, task, _, how in list(life.finished) if how is Ended.DONE}
+    faults = []
+    for i, step in enumerate(work.steps):
+        names = [f"{work.id}.0.{i}.{n}" for n in range(step["count"])]
+        ended = [name in done for name in names]
+        if not (any(ended) if step.get("gang") else all(ended)):
+            faults.append(f"MIXED: {work.id} is shown as completed, its step {i} is not done")
+    return faults
+
+
+def check_history(works: list[Work], lives: list[DriftingServer]) -> list[str]:
+    """Return every promise that was broken.
+
+    Args:
+        works: The jobs that were handed in.
+        lives: Every lifetime of every server.
+    """
+    by_id = {work.id: work for work in works}
+    faults = []
+    for task, runs in _intervals(lives).items():
+        faults += _check_task(task, runs, by_id.get(task.partition(".")[0]))
+    needs = {task: step for work in works for task, step in work.tasks()}
+    for life in lives:
+        faults += _check_room(life, needs)
+    return faults
+
+
+def _intervals(lives: list[DriftingServer]) -> dict[str, list[tuple[float, float, str, bool]]]:
+    """Return start, end, lifetime and whether it was done, of each run by task."""
+    found: dict[str, list[tuple[float, float, str, bool]]] = defaultdict(list)
+    for life in lives:
+        ends = {(task, run): (at_s, how) for at_s, task, run, how in life.finished}
+        for start_s, task, run in life.starts:
+            end_s, how = ends.get((task, run), (float("inf"), None))
+            done = how is Ended.DONE and task in life.noted
+            found[task].append((start_s, end_s, life.listing.life, done))
+    return found
+
+
+def _check_task(
+    task: str, runs: list[tuple[float, float, str, bool]], work: Work | None
+) -> list[str]:
+    """Check the runs of one task against each other and against its job."""
+    faults = []
+    if work is None:
+        faults.append(f"UNASKED: {task} was started, nobody asked for it")
+    elif work.refused:
+        faults.append(f"REFUSED: {task} was started, every try was refused")
+    runs = sorted(runs)
+    for (_, end_s, one, done), (start_s, _, other, _) in itertools.pairwise(runs):
+        if start_s < end_s:
+            faults.append(f"TWICE: {task} on {one} until {end_s:.3f}, on {other} at {start_s:.3f}")
+        if done:
+            faults.append(f"TWICE: {task} was done on {one} and started on {other}")
+    return faults
+
+
+def _check_room(life: DriftingServer, needs: dict[str, dict]) -> list[str]:
+    """Check that a server never ran more than it has room for."""
+    ends = {(task, run): at_s for at_s, task, run, _ in life.finished}
+    changes = []
+    for start_s, task, run in life.starts:
+        step = needs.get(task, {})
+        need = (step.get("cpu", 0), step.get("mem-mb", 0), step.get("gpu", 0))
+        changes.append((start_s, 1, need))
+        changes.append((ends.get((task, run), float("inf")), 0, need))
+    used = [0, 0, 0]
+    for at_s, begins, need in sorted(changes):
+        used = [u + (n if begins else -n) for u, n in zip(used, need, strict=True)]
+        if any(u > room for u, room in zip(used, CAPACITY, strict=True)):
+            return [f"LIMIT: {life.listing.life} runs {used} at {at_s:.3f}"]
+    return []
--- a/standins/src/catkinknot_standins/_platform_http.py
+++ b/standins/src/catkinknot_standins/_platform_http.py
@@ -6,7 +6,7 @@
 import threading
 import time
 from collections.abc import Callable, Iterable
-from contextlib import contextmanager
+from contextlib import AbstractContextManager, contextmanager
 from urllib.parse import parse_qs
 
 from cheroot import wsgi
@@ -72,14 +72,17 @@
     return [b""]
 
 
-def store_app(store: KeyedStore, view: StoreView | None = None) -> Callable:
+def store_app(
+    store: KeyedStore, view: StoreView | None = None, lock: AbstractContextManager | None = None
+) -> Callable:
     """Return the store as an application.
 
     Args:
         store: What it holds.
-        view: Its faults for everybody.
+        view: Its faults for everybody who calls this application.
+        lock: Held while the store is used; shared by all its applications.
     """
-    lock = threading.Lock()
+    lock = lock or threading.Lock()
     view = view or StoreView(store)
 
     def app(environ: dict, start: Callable) -> Iterable[bytes]:
@@ -200,9 +203,14 @@
     return Record(listing.id, json.dumps(body).encode())
 
 
-def server_app(server: TaskServer) -> Callable:
-    """Return a server as an application."""
-    lock = threading.Lock()
+def server_app(server: TaskServer, lock: AbstractContextManager | None = None) -> Callable:
+    """Return a server as an application.
+
+    Args:
+        server: The server.
+        lock: Held while the server is used.
+    """
+    lock = lock or threading.Lock()
 
     def app(environ: dict, start: Callable) -> Iterable[bytes]:
         length = int(environ.get("CONTENT_LENGTH") or 0)
