Move work off servers that leave at short notice

Change: a run that by its own pace, or its declared time, won't end before its server may leave is stopped at the notice and starts again elsewhere, from its checkpoint if it has one. The entry's time left is decoded for that. Tests: TestDrainingServers; two of three failed before.

--- a/libs/coordination/src/catkinknot/coordination/_board.py
+++ b/libs/coordination/src/catkinknot/coordination/_board.py
@@ -171,6 +171,8 @@
             self._log.bind(
                 server=view.life, draining=listing.draining, service=listing.service
             ).info("A server is listed.")
+        if listing.draining and (view.leaves_s is None or view.listing != listing):
+            view.leaves_s = now_s + listing.remaining_ms / 1000
         view.listed = True
         view.listing = listing
         room = view.room
--- /dev/null
+++ b/libs/coordination/src/catkinknot/coordination/_drain.py
@@ -0,0 +1,60 @@
+"""Move work off servers that are about to leave."""
+
+from catkinknot.jobs import StepState
+from catkinknot.model import Clock
+
+from ._board import Board
+from ._views import RunView, ServerView
+
+__all__ = ["leave_draining"]
+
+SURE_PERCENT = 10
+"""Progress from which a run's own pace says more than its declared time."""
+
+STAY_S = 0.3
+"""A run that would end this little after its server may leave is left alone."""
+
+
+def leave_draining(board: Board, clock: Clock) -> None:
+    """Stop runs that won't end before their server leaves.
+
+    What has saved its progress goes on elsewhere, and the rest begins again
+    sooner than after the loss, which is certain only when the lease has run
+    out.
+    """
+    now_s = clock.now()
+    for view in list(board.servers.values()):
+        if view.leaves_s is None or view.silent_since_s is not None:
+            continue
+        for run in list(view.runs.values()):
+            state = _state_of(board, run)
+            if state is None or run.stopping or state.step.service:
+                continue
+            left_s = _left_s(run, state, now_s)
+            if now_s + left_s > view.leaves_s + STAY_S:
+                _move(board, view, run, state, left_s, now_s)
+
+
+def _state_of(board: Board, run: RunView) -> StepState | None:
+    """Return the step that a run belongs to, None if it is over."""
+    job = board.jobs.get(run.key.job)
+    if job is None or job.phase.final:
+        return None
+    return job.steps.get(run.key)
+
+
+def _left_s(run: RunView, state: StepState, now_s: float) -> float:
+    """Return how long a run is likely to go on."""
+    ran_s = now_s - run.assigned_s
+    if run.percent >= SURE_PERCENT and run.moved_s is not None:
+        whole_s = (run.moved_s - run.assigned_s) * 100 / run.percent
+        return max(0.0, whole_s - ran_s)
+    return max(0.0, state.step.estimate_ms / 1000 - ran_s)
+
+
+def _move(
+    board: Board, view: ServerView, run: RunView, state: StepState, left_s: float, now_s: float
+) -> None:
+    """Stop a run so that it starts again elsewhere."""
+    reason = f"{view.life} leaves in {view.leaves_s - now_s:.1f} s, the run needs {left_s:.1f} s"
+    board.stop_task(state, run.index, reason)
--- a/libs/coordination/src/catkinknot/coordination/_planner.py
+++ b/libs/coordination/src/catkinknot/coordination/_planner.py
@@ -21,6 +21,7 @@
 
 from ._board import ACCELERATOR_CORES, Board
 from ._chase import drop_ended, repeat_stops, stop_stuck
+from ._drain import leave_draining
 from ._recorder import Recorder
 from ._views import JobView, RunView, ServerView
 
@@ -99,6 +100,7 @@
             board.lose_overdue()
             repeat_stops(board, self._clock)
             stop_stuck(board, self._clock)
+            leave_draining(board, self._clock)
             drop_ended(board, self._recorder, self._clock)
             board.refresh_rooms()
             self._protect()
--- a/libs/coordination/src/catkinknot/coordination/_servers.py
+++ b/libs/coordination/src/catkinknot/coordination/_servers.py
@@ -36,6 +36,7 @@
         capacity: What it has.
         draining: Whether it is about to leave.
         clock_ms: Its own clock when it wrote this.
+        remaining_ms: How long it serves at least from then on, while it drains.
     """
 
     life: str
@@ -49,6 +50,7 @@
     capacity: Resources
     draining: bool
     clock_ms: int
+    remaining_ms: int = 0
 
 
 class ServerListing(Protocol):
--- a/libs/coordination/src/catkinknot/coordination/_views.py
+++ b/libs/coordination/src/catkinknot/coordination/_views.py
@@ -76,6 +76,7 @@
         watched: Whether a thread renews its lease.
         failed_jobs: Jobs whose runs failed there, with none done since.
         suspect_until_s: Until when it gets no new work.
+        leaves_s: When it leaves at the earliest, None while it does not drain.
     """
 
     life: str
@@ -93,6 +94,7 @@
     watched: bool = False
     failed_jobs: set[str] = field(default_factory=set)
     suspect_until_s: float = 0.0
+    leaves_s: float | None = None
 
     def note_clock(self, clock_ms: int, now_s: float) -> None:
         """Take a reading of the server's clock."""
--- a/libs/coordination/tests/test_leader.py
+++ b/libs/coordination/tests/test_leader.py
@@ -3,7 +3,7 @@
 import threading
 import unittest
 
-from stepping import LONGEST_LEASE_S, Instance, World, job, play, step
+from stepping import CAPACITY, LONGEST_LEASE_S, Instance, World, job, play, step
 
 from catkinknot.coordination import JOBS, RUNS, Verdict
 from catkinknot.jobs import Ended, JobPhase
@@ -207,6 +207,49 @@
         self.assertEqual(self.first.phase("a" * 16), JobPhase.COMPLETED)
 
 
+class TestDrainingServers(Base):
+    """Move work off servers that leave at short notice."""
+
+    NOTICE_MS = 1000
+
+    def test_work_that_would_be_lost_moves(self) -> None:
+        """A run that can't end in time is stopped at the notice, and goes on elsewhere.
+
+        Before, it was lost with its server, and started again only when the
+        lease had run out.
+        """
+        self.submit(job("a" * 16, step(2, gpu=4)))
+        self.play(0.5)
+        (name,) = {s.listing.id for s in self.world.servers.all() if s.running()}
+        self.world.servers.drain(name, self.NOTICE_MS)
+        self.play(self.NOTICE_MS / 1000)
+        self.world.servers.by_id[name].crash()
+        self.assertEqual(len(self.world.running()), 2)
+        self.play(2.0)
+        self.assertEqual(self.first.phase("a" * 16), JobPhase.COMPLETED)
+
+    def test_work_that_ends_in_time_stays(self) -> None:
+        """A run that is nearly done is left alone."""
+        self.submit(job("a" * 16, step(2, gpu=4)))
+        self.play(1.5)
+        (name,) = {s.listing.id for s in self.world.servers.all() if s.running()}
+        self.world.servers.drain(name, self.NOTICE_MS)
+        self.play(1.0)
+        ends = {how for s in self.world.servers.all() for *_, how in s.finished}
+        self.assertEqual(ends, {Ended.DONE})
+
+    def test_gang_moves_whole(self) -> None:
+        """A gang with one member on a leaving server starts again as one run."""
+        self.submit(job("a" * 16, step(2, gpu=8, gang=True)))
+        self.play(0.5)
+        self.world.servers.add("s2", CAPACITY)
+        self.world.servers.drain("s0", self.NOTICE_MS)
+        self.play(1.0)
+        runs = {run for server in self.world.servers.all() for run in server.running().values()}
+        self.assertEqual(runs, {2})
+        self.assertEqual(len(self.world.running()), 2)
+
+
 class TestStandstill(Base):
     """Move work that stands still on a server that answers."""
 
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,5 +1,7 @@
 """Play seeds from the command line: ``python -m soak --seeds 1:50``."""
 
+import os
+import signal
 import sys
 import time
 from concurrent.futures import ThreadPoolExecutor
@@ -7,6 +9,7 @@
 
 import fire
 
+from ._instances import end_all
 from ._run import play
 
 SECONDS = 12.0
@@ -33,6 +36,7 @@
         servers: How many servers each has.
         jobs: How many seeds are played at a time.
     """
+    signal.signal(signal.SIGTERM, _end)
     numbers = _read_seeds(str(seeds).strip("()").replace(" ", ""))
     first = int(time.time()) % 1_000_000 * 1000
     numbers += range(first, first + fresh)
@@ -49,6 +53,12 @@
     sys.exit(1 if failed else 0)
 
 
+def _end(*_: object) -> None:
+    """End with the processes that were started here."""
+    end_all()
+    os._exit(1)
+
+
 def _read_seeds(text: str) -> list[int]:
     """Return the seeds that a range or a list names."""
     if ":" in text:
--- a/soak/_instances.py
+++ b/soak/_instances.py
@@ -12,11 +12,20 @@
 
 from ._proxy import IP, Proxy, open_proxy
 
-__all__ = ["Instance", "free_ports", "open_instance"]
+__all__ = ["Instance", "end_all", "free_ports", "open_instance"]
 
 GRACE_S = 3.0
 RESTART_S = 0.5
 
+_RUNNING: set[subprocess.Popen] = set()
+"""Every process that was started here and not ended yet."""
+
+
+def end_all() -> None:
+    """Kill every process that was started here."""
+    for process in list(_RUNNING):
+        process.kill()
+
 
 def free_ports(count: int) -> list[int]:
     """Return ports of loopback that nobody listens on."""
@@ -39,6 +48,7 @@
         store: Its way to the store.
         relay: Where other instances reach it.
         lives: How often it has been started.
+        ended: Whether it must not be started any more.
     """
 
     name: str
@@ -48,17 +58,23 @@
     store: Proxy
     relay: str
     lives: int = 0
+    ended: bool = False
     _process: subprocess.Popen | None = None
 
     def start(self) -> None:
-        """Start it unless it runs."""
+        """Start it unless it runs or has been ended."""
+        if self.ended:
+            return
         if self._process is not None and self._process.poll() is None:
             return
         self.lives += 1
         env = os.environ | {"CATKINKNOT_BOOT": str(self.settings)}
         with self.log.open("ab") as out:
             command = [sys.executable, "-m", "catkinknot.node"]
+            if self._process is not None:
+                _RUNNING.discard(self._process)
             self._process = subprocess.Popen(command, env=env, stdout=out, stderr=out)
+            _RUNNING.add(self._process)
 
     def send(self, signum: signal.Signals) -> None:
         """Send a signal to the process that was started here, if it still runs."""
@@ -87,8 +103,10 @@
     def end(self) -> None:
         """End it for good."""
         if self._process is not None:
+            self.ended = True
             self.send(signal.SIGKILL)
             self._process.wait()
+            _RUNNING.discard(self._process)
 
     def _later(self, wait_s: float) -> None:
         """Start it again after a while."""
--- a/soak/_outside.py
+++ b/soak/_outside.py
@@ -158,7 +158,8 @@
         """Let a server say that it leaves, leave, and come back."""
         with server.lock:
             life = server.life
-            life.listing = replace(life.listing, draining=True)
+            notice_ms = int(DRAIN_S * 1000)
+            life.listing = replace(life.listing, draining=True, remaining_ms=notice_ms)
 
         def leave() -> None:
             if server.life is life:
--- a/soak/_proxy.py
+++ b/soak/_proxy.py
@@ -11,6 +11,10 @@
 __all__ = ["Harm", "Proxy", "open_proxy"]
 
 CHUNK_BYTES = 65536
+
+LOOK_S = 0.2
+"""How long a break of connections may take to be seen."""
+
 IP = "127.0.0.1"
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -32,6 +36,7 @@
     near: socket.socket
     far: socket.socket
     dead: bool = False
+    broken: bool = False
 
     def reset(self) -> None:
         """Close both ends at once."""
@@ -68,7 +73,7 @@
         """Break every open connection."""
         pairs, self._pairs = self._pairs, []
         for pair in pairs:
-            pair.reset()
+            pair.broken = True
 
     def serve(self, listener: socket.socket) -> None:
         """Take connections until the listener is closed."""
@@ -86,7 +91,6 @@
             except OSError:
                 near.close()
                 continue
-            far.settimeout(None)
             pair = _Pair(near, far)
             self._pairs = [one for one in self._pairs if one.near.fileno() >= 0] + [pair]
             for source, sink, answers in ((near, far, False), (far, near, True)):
@@ -95,8 +99,9 @@
 
     def _pump(self, pair: _Pair, source: socket.socket, sink: socket.socket, answers: bool) -> None:
         """Carry bytes one way until an end closes."""
+        source.settimeout(LOOK_S)
         try:
-            while data := source.recv(CHUNK_BYTES):
+            while data := self._receive(pair, source):
                 lost = self.harm is Harm.SILENCE or (answers and self.harm is Harm.NO_ANSWERS)
                 pair.dead = pair.dead or lost
                 if pair.dead:
@@ -106,9 +111,22 @@
                 sink.sendall(data)
         except OSError:
             pass  # The other end is closed below.
-        if not pair.dead:
+        if pair.broken or not pair.dead:
             pair.reset()
 
+    def _receive(self, pair: _Pair, source: socket.socket) -> bytes:
+        """Return the next bytes, none once the connection is closed or broken.
+
+        A socket that is closed under a waiting `recv` stays open until that
+        returns, so no wait is long.
+        """
+        while not pair.broken:
+            try:
+                return source.recv(CHUNK_BYTES)
+            except TimeoutError:
+                continue
+        return b""
+
 
 @contextmanager
 def open_proxy(far: int, port: int = 0):
--- a/standins/src/catkinknot_standins/_platform_http.py
+++ b/standins/src/catkinknot_standins/_platform_http.py
@@ -198,6 +198,7 @@
         "born": listing.born_ms,
         "capacity": capacity,
         "labels": ["kind", listing.rack],
+        "remaining-ms": listing.remaining_ms,
         "clock-ms": server.now_ms(),
     }
     return Record(listing.id, json.dumps(body).encode())
--- a/standins/src/catkinknot_standins/_task_server.py
+++ b/standins/src/catkinknot_standins/_task_server.py
@@ -236,10 +236,10 @@
         """Return every lifetime that ever was."""
         return [*self.past, *self.by_id.values()]
 
-    def drain(self, name: str) -> None:
-        """Have a server say that it leaves."""
+    def drain(self, name: str, remaining_ms: int = 0) -> None:
+        """Have a server say that it leaves, and how long it stays at least."""
         server = self.by_id[name]
-        server.listing = replace(server.listing, draining=True)
+        server.listing = replace(server.listing, draining=True, remaining_ms=remaining_ms)
 
     def list(self) -> dict[str, Listing]:
         """Return the listed servers by identity."""
