--- a/app/src/catkinknot/node/_node.py
+++ b/app/src/catkinknot/node/_node.py
@@ -42,6 +42,7 @@
 )
 
 from ._counts import NodeCounts
+from ._settings_watch import SettingsWatch
 
 __all__ = ["Node", "run_node"]
 
@@ -60,6 +61,9 @@
 RESTART_S = 0.2
 """Pause before a part that broke begins again."""
 
+SETTINGS_LOOK_S = 0.5
+"""Time between two looks at the settings file."""
+
 CALLER_THREADS = 20
 RELAY_THREADS = 8
 IDLE_S = 15.0
@@ -289,8 +293,10 @@
     told = threading.Event()
     signal.signal(signal.SIGTERM, lambda *_: told.set())
     signal.signal(signal.SIGINT, lambda *_: told.set())
-    signal.signal(signal.SIGHUP, lambda *_: _reload(path))
+    asked = threading.Event()
+    signal.signal(signal.SIGHUP, lambda *_: asked.set())
     settings = node.settings
+    watch = SettingsWatch(path, settings)
     metrics_at = Endpoint(settings.ip, settings.metrics_port)
     drained_s = max(0.5, settings.grace_s - STOP_MARGIN_S)
     with ExitStack() as stack:
@@ -320,21 +326,13 @@
         ):
             stack.enter_context(open_server(app, at, threads=threads, idle_s=IDLE_S, drain_s=0.2))
         log.bind(zone=settings.zone, callers=str(settings.callers)).info("The instance is up.")
-        while not told.wait(0.5):
-            pass
+        while not told.wait(SETTINGS_LOOK_S):
+            told_to_read = asked.is_set()
+            if told_to_read:
+                asked.clear()
+            watch.look(asked=told_to_read)
         log.info("The instance is told to stop.")
         node.stopping.set()
         node.election.resign()
         node.clock.sleep(drained_s)
     log.info("The instance has stopped.")
-
-
-def _reload(path) -> None:
-    """Read the settings again; addresses change only with a new process."""
-    log = logger.bind(part="main")
-    try:
-        load_settings(path)
-    except BadInputError as exc:
-        log.bind(code=int(exc.code), reason=exc.message).error("The settings can't be read.")
-        return
-    log.info("The settings were read again.")
