Give appends the time that a slow store needs

Appends to one topic wait for each other, 184 ms each. The leader's own phases took as many turns in that queue as the store had. Ruled out: a store that is away (its reads went on), and lost answers. Change: while the store can be read, a caller's append is tried until shortly before the deadline, each try with more time, the first paced by the last append; the leader gathers phases for 0.5 s while appends take over 0.1 s.

--- a/libs/coordination/src/catkinknot/coordination/_desk.py
+++ b/libs/coordination/src/catkinknot/coordination/_desk.py
@@ -32,7 +32,19 @@
 """How long a store that refuses is tried before the caller is told to try elsewhere."""
 
 SILENT_S = 0.75
-"""The same for a store that does not answer."""
+"""The same for a store that does not answer and can't be read either."""
+
+APPEND_S = 0.6
+"""How long the first append waits at least; each further one waits twice as long."""
+
+LONGEST_APPEND_S = 2.0
+"""How long it waits at most; the store refuses what it can't begin within this."""
+
+PACE = 3
+"""How much longer than the last append took the next one may take."""
+
+ANSWER_S = 0.2
+"""Time kept for the answer to reach the caller before its deadline."""
 
 AWAY_S = 1.4
 """A store that has answered nothing for this long is away; a read may wait most of it."""
@@ -107,6 +119,7 @@
         self._book = book
         self._config = config
         self._clock = clock
+        self._took_s = 0.0
         self._log = logger.bind(part="desk")
 
     def admit(self, host: str, path: str, key: str) -> Answer | tuple[Queue, Workspace]:
@@ -208,7 +221,8 @@
 
         A repeated record changes nothing, so an append without an answer is
         simply made again. A caller with time left does better at another
-        instance than waiting here.
+        instance than waiting here, unless the store can be read: then it is
+        slow, and as slow for every other instance.
 
         Returns:
             How it ended, and why if it did not succeed.
@@ -216,21 +230,32 @@
         unsure = False
         began_s = self._clock.now()
         end_s = min(deadline_s, began_s + REFUSED_S)
+        patience_s = min(max(APPEND_S, PACE * self._took_s), LONGEST_APPEND_S)
         while True:
-            left_s = max(deadline_s - self._clock.now(), RETRY_S)
+            sent_s = self._clock.now()
+            left_s = max(deadline_s - ANSWER_S - sent_s, RETRY_S)
             try:
-                self._store.append(JOBS, [record], timeout_s=left_s)
+                self._store.append(JOBS, [record], timeout_s=min(left_s, patience_s))
+                self._took_s = self._clock.now() - sent_s
                 return Verdict.ACCEPTED, ""
             except StoreRefusedError as exc:
                 reason = exc.message
             except StoreError as exc:
                 reason = exc.message
                 unsure = True
-                end_s = min(deadline_s, began_s + SILENT_S)
+                self._took_s = max(self._took_s, self._clock.now() - sent_s)
+                patience_s = min(2 * patience_s, LONGEST_APPEND_S)
+                end_s = self._silent_end_s(began_s, deadline_s)
             if self._clock.now() + RETRY_S >= end_s:
                 return (Verdict.UNSURE if unsure else Verdict.REFUSED), reason
             self._clock.sleep(RETRY_S)
 
+    def _silent_end_s(self, began_s: float, deadline_s: float) -> float:
+        """Return until when a store that did not answer is tried again."""
+        if self._store_away():
+            return min(deadline_s, began_s + SILENT_S)
+        return deadline_s - ANSWER_S
+
     def _freshen(self, job_id: str) -> None:
         """Read on in the ledger before a job is shown as not ended.
 
--- a/libs/coordination/src/catkinknot/coordination/_recorder.py
+++ b/libs/coordination/src/catkinknot/coordination/_recorder.py
@@ -22,6 +22,21 @@
 RETRY_S = 0.05
 """Pause before an append that failed is sent again."""
 
+APPEND_S = 0.6
+"""How long the first append waits for its answer; each further one twice as long."""
+
+SLOW_S = 0.1
+"""The store is slow when an append takes longer than this."""
+
+SLOW_GAP_S = 0.5
+"""Time between two batches of phases while the store is slow.
+
+Appends to one topic wait for each other, and callers' jobs go there too.
+"""
+
+LONGEST_APPEND_S = 2.4
+"""The same at most; the store refuses what it can't begin within 2 s."""
+
 
 def lead_mark(epoch: int, instance: str, nonce: str, *, resigned: bool = False) -> Record:
     """Return the record that says who leads, or who has ceased to."""
@@ -73,6 +88,8 @@
         self._dirty: dict[str, dict[str, bytes]] = {RUNS: {}, JOBS: {}}
         self._after: list[Callable[[], None]] = []
         self._marked_s = confirmed_s
+        self._phases_s = float("-inf")
+        self._took_s = 0.0
         self._log = logger.bind(part="recorder", epoch=epoch)
         self.confirmed_s = confirmed_s
         self.fenced = False
@@ -97,14 +114,20 @@
                 if not self._pending() and idle_s > 0:
                     self._cond.wait(idle_s)
             self.flush(stopped)
+            if self._phases_wait():
+                stopped.wait(RETRY_S)
 
     def flush(self, stopped: threading.Event) -> None:
         """Write what is dirty now, then run what waited for it."""
         with self._cond:
-            batches = {topic: dict(keys) for topic, keys in self._dirty.items()}
+            held = {JOBS} if self._phases_wait() else set()
+            batches = {
+                topic: {} if topic in held else dict(keys) for topic, keys in self._dirty.items()
+            }
             after, self._after = self._after, []
-            for keys in self._dirty.values():
-                keys.clear()
+            for topic, keys in self._dirty.items():
+                if topic not in held:
+                    keys.clear()
         if self._clock.now() - self._marked_s >= MARK_S:
             batches[JOBS].setdefault(self._mark.key, self._mark.value)
         for topic, keys in batches.items():
@@ -117,6 +140,10 @@
                 for action in after:
                     action()
 
+    def _phases_wait(self) -> bool:
+        """Tell whether the store is slow and got a batch of phases only now."""
+        return self._took_s > SLOW_S and self._clock.now() - self._phases_s < SLOW_GAP_S
+
     def _pending(self) -> bool:
         """Tell whether there is anything to write or to run."""
         return bool(self._after or any(self._dirty.values()))
@@ -124,10 +151,11 @@
     def _append(self, topic: str, records: list[Record], stopped: threading.Event) -> bool:
         """Append one batch, again and again until its fate is known."""
         fence = Fence(PRODUCER, self._epoch, self._numbers[topic])
+        patience_s = APPEND_S
         while not stopped.is_set():
             sent_s = self._clock.now()
             try:
-                self._store.append(topic, records, fence=fence)
+                self._store.append(topic, records, fence=fence, timeout_s=patience_s)
             except FencedError:
                 self.fenced = True
                 self._log.warning("Another instance leads.")
@@ -141,10 +169,15 @@
                     return False
             except (StoreRefusedError, StoreSilentError) as exc:
                 self._log.bind(topic=topic, reason=exc.message).debug("An append is sent again.")
+                if isinstance(exc, StoreSilentError):
+                    patience_s = min(2 * patience_s, LONGEST_APPEND_S)
                 stopped.wait(RETRY_S)
                 continue
             self._numbers[topic] += 1
             self.confirmed_s = sent_s
+            if topic == JOBS:
+                self._phases_s = self._clock.now()
+                self._took_s = self._phases_s - sent_s
             if any(record.key == LEAD_KEY for record in records):
                 self._marked_s = sent_s
             return True
--- a/libs/coordination/tests/test_desk.py
+++ b/libs/coordination/tests/test_desk.py
@@ -2,14 +2,35 @@
 
 import unittest
 
-from stepping import Instance, World, job, play, step
+from stepping import STEP_S, Instance, World, job, play, step
 
 from catkinknot.coordination import Answer, Verdict
+from catkinknot.coordination.exceptions import StoreSilentError
 from catkinknot.jobs import JobPhase
+from catkinknot_standins import StoreView
 
 ID = "a" * 16
 
 
+class SlowStore(StoreView):
+    """Answer appends slowly, and reads at once."""
+
+    def __init__(self, world: World, answer_s: float) -> None:
+        """Be as slow as this."""
+        super().__init__(world.store)
+        self._clock = world.clock
+        self._answer_s = answer_s
+        self.appends = 0
+
+    def append(self, topic, records, *, fence=None, only_at=None, timeout_s=None) -> int:
+        """Take as long as an answer takes, or as its caller waits."""
+        self.appends += 1
+        self._clock.advance(min(self._answer_s, timeout_s))
+        if timeout_s < self._answer_s:
+            raise StoreSilentError("no answer")
+        return super().append(topic, records, fence=fence, only_at=only_at)
+
+
 class TestDesk(unittest.TestCase):
     """Answer at an instance that does not lead."""
 
@@ -135,6 +156,29 @@
         starts = [s for server in self.world.servers.all() for s in server.starts]
         self.assertEqual(len(starts), 1)
 
+    def test_slow_store(self) -> None:
+        """A store that is slow but can be read gets the time that the caller has.
+
+        Before, each caller was sent away after two short tries, whose appends
+        made the store's queue longer, and used up its tries everywhere.
+        """
+        slow = SlowStore(self.world, answer_s=1.0)
+        self.desk._store = slow
+        self.here.tail._store = slow
+        answer = self.desk.submit(job(ID), self.world.clock.now() + 2.9)
+        self.assertEqual(answer.verdict, Verdict.ACCEPTED)
+        self.assertLessEqual(slow.appends, 2)
+
+    def test_deadline_on_a_slow_store(self) -> None:
+        """A caller whose time is over is told that the outcome is unknown."""
+        slow = SlowStore(self.world, answer_s=4.0)
+        self.desk._store = slow
+        self.here.tail._store = slow
+        began_s = self.world.clock.now()
+        answer = self.desk.submit(job(ID), began_s + 1.0)
+        self.assertEqual(answer.verdict, Verdict.UNSURE)
+        self.assertLessEqual(self.world.clock.now(), began_s + 1.0 + STEP_S)
+
     def test_count(self) -> None:
         """Jobs that have not begun are counted; begun and cancelled ones are not."""
         full = [job(f"{i:016x}", step(2, gpu=8)) for i in range(3)]
