Ask a silent server again also when nothing runs there

Cause: seed 43 of the soak (12 s, 4 instances, 6 servers) did not settle in 60 s; five jobs that need every server waited. The call that got no answer only confirmed the last end; with nothing running, nobody asked that server again, and one that counts as silent gets no work. A server with runs heals itself, as its leases end. Change: a listed server that is silent is asked until it answers, each 0.8 s while nothing runs there.

--- a/libs/coordination/src/catkinknot/coordination/_leader.py
+++ b/libs/coordination/src/catkinknot/coordination/_leader.py
@@ -25,7 +25,7 @@
 from ._servers import ServerCalls, ServerListing
 from ._store import JOBS, RUNS, Store
 from ._views import RunView, ServerView
-from ._watch import Watcher
+from ._watch import Watcher, needs_watch
 from .exceptions import StoreError
 
 __all__ = ["CONFIRMED_S", "Claim", "Leader", "lead"]
@@ -226,10 +226,10 @@
             self.stopped.wait(max(PAUSE_S, self._clock.now() - began_s))
 
     def _watch_busy(self) -> None:
-        """See that every server with work of ours has its lease renewed."""
+        """See that every server with work of ours, or silent, is asked over and over."""
         with self.board.lock:
             for view in list(self.board.servers.values()):
-                if view.runs and view.listing is not None and not view.watched:
+                if needs_watch(view) and not view.watched:
                     view.watched = True
                     self._spawn_watch(view)
         self._threads = [thread for thread in self._threads if thread.is_alive()]
--- a/libs/coordination/src/catkinknot/coordination/_watch.py
+++ b/libs/coordination/src/catkinknot/coordination/_watch.py
@@ -11,7 +11,7 @@
 from ._servers import HoldAnswer, OrderOutcome, ServerCalls
 from ._views import ServerView
 
-__all__ = ["Watcher"]
+__all__ = ["Watcher", "needs_watch"]
 
 LONG_WAIT_S = 1.9
 """How long a server may wait for an end before it answers."""
@@ -25,6 +25,9 @@
 RETRY_S = 0.2
 """Pause after a call without an answer."""
 
+IDLE_RETRY_S = 0.8
+"""The same while nothing runs on the server."""
+
 
 class Watcher:
     """Hold servers; ends are confirmed to them only once the store has them."""
@@ -63,13 +66,13 @@
         """Hold a server until it has nothing of ours any more."""
         while not stopped.is_set():
             with self._board.lock:
-                if not _needed(view):
+                if not needs_watch(view):
                     view.watched = False
                     return
                 wait_s = _wait_s(view)
             answer = self.hold(view, wait_s)
             if answer.reply.outcome is not OrderOutcome.DONE:
-                stopped.wait(RETRY_S)
+                stopped.wait(RETRY_S if view.runs else IDLE_RETRY_S)
                 continue
             recorded = threading.Event()
             if self.confirm_later(view, answer, recorded) and not recorded.wait(RECORD_WAIT_S):
@@ -118,9 +121,16 @@
         return True
 
 
-def _needed(view: ServerView) -> bool:
-    """Tell whether a server has to be asked again."""
-    return view.listing is not None and bool(view.runs or view.read_end > view.seen_end)
+def needs_watch(view: ServerView) -> bool:
+    """Tell whether a server has to be asked again.
+
+    One that fell silent is asked also when nothing runs there: it gets no
+    work until it has answered.
+    """
+    if view.listing is None:
+        return False
+    silent = view.listed and view.silent_since_s is not None
+    return bool(view.runs or silent or view.read_end > view.seen_end)
 
 
 def _wait_s(view: ServerView) -> float:
--- a/libs/coordination/tests/stepping.py
+++ b/libs/coordination/tests/stepping.py
@@ -7,6 +7,7 @@
 from catkinknot.coordination._board import Board
 from catkinknot.coordination._election import Election
 from catkinknot.coordination._leader import CONFIRMED_S, Leader
+from catkinknot.coordination._watch import needs_watch
 from catkinknot.jobs import (
     Configuration,
     Job,
@@ -176,7 +177,7 @@
         self.leader._planner.plan()
         self._flush()
         for view in list(self.board.servers.values()):
-            if view.listing is not None and (view.runs or view.read_end > view.seen_end):
+            if needs_watch(view):
                 answer = self.leader._watcher.hold(view, 0.0)
                 self.leader._watcher.confirm_later(view, answer, threading.Event())
         self._flush()
--- a/libs/coordination/tests/test_leader.py
+++ b/libs/coordination/tests/test_leader.py
@@ -167,6 +167,25 @@
         self.play(3.0)
         self.assertLessEqual(len(asked), 8)
 
+    def test_silent_server_is_used_again(self) -> None:
+        """A server that fell silent and has nothing to do gets work once it answers.
+
+        Found by seed 43 of the soak: the call that confirmed its last end got
+        no answer, it was never asked again, and a gang that needed every
+        server waited for ever.
+        """
+        self.submit(job("a" * 16))
+        self.play(3.0)
+        self.assertEqual(self.first.phase("a" * 16), JobPhase.COMPLETED)
+        server = self.world.servers.by_id["s0"]
+        server.faults.silent = True
+        self.first.leader._watcher.hold(self.first.board.servers[server.listing.life], 0.0)
+        self.play(1.0)
+        server.faults.silent = False
+        self.submit(job("b" * 16))
+        self.play(4.0)
+        self.assertEqual(self.first.phase("b" * 16), JobPhase.COMPLETED)
+
     def test_stop_without_answer_is_repeated(self) -> None:
         """A cancelled job's work is stopped once its server can be reached again.
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -187,6 +187,7 @@
         seeds = {
             1: "a first one",
             9: "an instance's port was taken by another's outgoing connection",
+            43: "a silent server without work was never asked again",
         }
         for seed, cause in seeds.items():
             with self.subTest(seed=seed, cause=cause), tempfile.TemporaryDirectory() as folder:
