--- a/libs/coordination/src/catkinknot/coordination/_planner.py
+++ b/libs/coordination/src/catkinknot/coordination/_planner.py
@@ -42,9 +42,6 @@
 URGENT_WAIT_S = 0.4
 """How long work on a guarantee waits for room before it stops others."""
 
-RECLAIM_S = 1.3
-"""How long work on a guarantee waits before it may stop others at any cost."""
-
 URGENT_EVICTION = 2.5
 """Work that may be thrown away for urgent work, as a multiple of its own."""
 
@@ -178,18 +175,16 @@
         guaranteed = view.job.id in covered
         prospect, slack_s = self._prospect(view, state)
         waits_s = min(slack_s - MIN_SLACK_S, URGENT_WAIT_S if guaranteed else slack_s)
-        waited_s = now_s - ready_s
         urgent = state.job.policy.priority == 0
         ratio = URGENT_EVICTION if urgent else EVICTION
-        reclaims = guaranteed and waited_s >= RECLAIM_S
         return Wanting(
             state,
             ready_s,
             guaranteed=guaranteed,
             prospect=prospect,
-            evicts=(guaranteed and waited_s >= URGENT_WAIT_S)
+            evicts=(guaranteed and now_s - ready_s >= URGENT_WAIT_S)
             or (prospect is Prospect.IN_TIME and waits_s <= 0),
-            eviction_limit_core_s=float("inf") if reclaims else ratio * _work_core_s(state),
+            eviction_limit_core_s=float("inf") if guaranteed else ratio * _work_core_s(state),
             suspects=frozenset(view.suspects.get(state.key, ())),
         )
 
