Say why a step waits, close connections to lost servers, split the board

Connections to servers that are gone stayed open: ServerCalls.forget was called by nobody, so a long run with changing servers would use up descriptors. Change: one line 'A step waits.' for each step after 0.3 s, with the pool, what is kept clear and what is free; a server that is dropped is forgotten unless its address is in use; taking servers' reports moved to _reports.py (board 373 lines); the word 'kept' means one thing only in packing; a dead constant went. Ruled out: changed decisions; the histories and stepped tests are as before.

--- a/libs/coordination/src/catkinknot/coordination/_board.py
+++ b/libs/coordination/src/catkinknot/coordination/_board.py
@@ -15,14 +15,13 @@
     StepState,
     TaskPhase,
     TaskState,
-    read_step_key,
     write_step,
 )
 from catkinknot.model import Clock
 from catkinknot.packing import Occupant, Room
 
 from ._recorder import Recorder
-from ._servers import EndRow, HoldAnswer, Listing, OrderOutcome, RunRow
+from ._servers import Listing
 from ._store import JOBS, RUNS
 from ._views import CLOCK_DRIFT, JobView, RunView, ServerView
 
@@ -31,12 +30,6 @@
 ACCELERATOR_CORES = 8
 """Cores that an accelerator counts as when work is weighed."""
 
-FAILING_JOBS = 2
-"""Different jobs that fail in a row before a server is set aside."""
-
-SILENT_ORDERS = 3
-"""Orders in a row without an answer after which a server counts as silent."""
-
 REFUSED_PAUSE_S = 0.3
 """How long a step waits after a server refused to start a task of it."""
 
@@ -49,6 +42,7 @@
 
     Attributes:
         lock: Held while anything here is read or changed.
+        clock: Where time comes from.
         jobs: Jobs by identity.
         servers: Servers by lifetime.
         changed: Set when there may be something to decide.
@@ -61,6 +55,7 @@
         *,
         clock: Clock,
         stop_run: Callable[[ServerView, RunView, str], None],
+        forget_server: Callable[[Listing], None] = lambda listing: None,
         fence_s: float,
         inherited_s: float,
     ) -> None:
@@ -70,12 +65,14 @@
             recorder: Writes what must last.
             clock: Where time comes from.
             stop_run: Sends the order to stop a run, with a reason.
+            forget_server: Told when a server that is gone is dropped.
             fence_s: When earlier leaders were fenced.
             inherited_s: For how long after that their leases may last.
         """
         self._recorder = recorder
-        self._clock = clock
+        self.clock = clock
         self.send_stop = stop_run
+        self._forget_server = forget_server
         self._inherited_end_s = fence_s + inherited_s * CLOCK_DRIFT
         self._log = logger.bind(part="board")
         self.lock = threading.RLock()
@@ -117,9 +114,9 @@
         for i in state.assigned():
             task = tasks[i]
             server = self._server_of(task.server)
-            run = RunView(key.task(i), key, i, task.run, self._clock.now(), settled_s=float("-inf"))
+            run = RunView(key.task(i), key, i, task.run, self.clock.now(), settled_s=float("-inf"))
             run.checkpoint = task.checkpoint
-            server.admit(run, self._occupant(state, i))
+            server.admit(run, self.occupant_of(state, i))
             server.ends_s = max(server.ends_s, self._inherited_end_s)
 
     def _server_of(self, life: str) -> ServerView:
@@ -129,7 +126,7 @@
             self.servers[life] = ServerView(life, None, room, listed=False)
         return self.servers[life]
 
-    def _occupant(self, state: StepState, index: int) -> Occupant:
+    def occupant_of(self, state: StepState, index: int) -> Occupant:
         """Return what a task takes of its server."""
         task = state.key.task(index)
         return Occupant(
@@ -146,7 +143,7 @@
     def take_listing(self, listings: Iterable[Listing]) -> None:
         """Take what servers say of themselves."""
         with self.lock:
-            now_s = self._clock.now()
+            now_s = self.clock.now()
             current = {listing.life: listing for listing in listings}
             by_id = {listing.id: listing.life for listing in current.values()}
             for view in list(self.servers.values()):
@@ -187,7 +184,7 @@
     def refresh_rooms(self) -> None:
         """Say which servers may take new work, and what stopping costs."""
         with self.lock:
-            now_s = self._clock.now()
+            now_s = self.clock.now()
             for view in self.servers.values():
                 listing = view.listing
                 view.room.open = bool(
@@ -212,12 +209,21 @@
     def lose_overdue(self) -> None:
         """End the runs of servers whose leases have run out unheard."""
         with self.lock:
-            now_s = self._clock.now()
+            now_s = self.clock.now()
             for view in list(self.servers.values()):
                 if view.runs and now_s >= view.ends_s and not self._answers(view):
                     self.lose_server(view, "its lease has run out")
                 if not view.runs and not view.listed and not view.watched:
                     del self.servers[view.life]
+                    self._forget(view)
+
+    def _forget(self, view: ServerView) -> None:
+        """Have connections to a server closed, unless its address is in use again."""
+        if view.listing is None:
+            return
+        others = (other.listing for other in self.servers.values() if other.listing)
+        if all(other.address != view.listing.address for other in others):
+            self._forget_server(view.listing)
 
     def _answers(self, view: ServerView) -> bool:
         """Tell whether a server has answered since its last lease began."""
@@ -230,7 +236,7 @@
                 "A server's runs are lost."
             )
             for run in list(view.runs.values()):
-                self._end_run(view, run, Ended.LOST, run.checkpoint)
+                self.end_run(view, run, Ended.LOST, run.checkpoint)
             view.listed = False
             self.changed.set()
 
@@ -251,11 +257,9 @@
             state.assign(places)
             started = []
             for i, life in places.items():
-                run = RunView(
-                    state.key.task(i), state.key, i, state.tasks[i].run, self._clock.now()
-                )
+                run = RunView(state.key.task(i), state.key, i, state.tasks[i].run, self.clock.now())
                 view = self.servers[life]
-                view.admit(run, self._occupant(state, i))
+                view.admit(run, self.occupant_of(state, i))
                 started.append((view, run))
             self._record(state)
             view = self.jobs[state.job.id]
@@ -263,123 +267,6 @@
                 self._set_phase(view, JobPhase.RUNNING)
             return started
 
-    def on_hold(self, view: ServerView, answer: HoldAnswer, sent_s: float) -> None:
-        """Take what a server says when its lease is renewed.
-
-        Args:
-            view: The server.
-            answer: What it said.
-            sent_s: When it was asked.
-        """
-        with self.lock:
-            now_s = self._clock.now()
-            if not self._note_answer(view, answer.reply.outcome, now_s):
-                return
-            view.note_clock(answer.reply.clock_ms, now_s)
-            before = len(view.runs)
-            for row in answer.ended:
-                self._take_end(view, row)
-            running = {row.task: row for row in answer.running}
-            for row in answer.running:
-                self._take_row(view, row, now_s)
-            for run in list(view.runs.values()):
-                gone = run.settled_s is not None and run.settled_s < sent_s
-                row = running.get(run.task)
-                if gone and (row is None or row.run != run.run):
-                    self._end_run(view, run, Ended.LOST, run.checkpoint)
-            if len(view.runs) != before:
-                self.changed.set()
-
-    def note_order(self, view: ServerView, answered: bool) -> None:
-        """Note whether an order was answered; some answers are lost on a sound way."""
-        with self.lock:
-            view.unanswered = 0 if answered else view.unanswered + 1
-            if view.unanswered >= SILENT_ORDERS and view.silent_since_s is None:
-                view.silent_since_s = self._clock.now()
-                self._log.bind(server=view.life, orders=view.unanswered).warning(
-                    "A server does not answer."
-                )
-
-    def _note_answer(self, view: ServerView, outcome: OrderOutcome, now_s: float) -> bool:
-        """Note whether a server answers; return whether its answer counts."""
-        match outcome:
-            case OrderOutcome.DONE:
-                if view.silent_since_s is not None:
-                    self._log.bind(server=view.life).info("A server answers again.")
-                view.heard_s = now_s
-                view.silent_since_s = None
-                view.unanswered = 0
-                return True
-            case OrderOutcome.OTHER_LIFE:
-                self.lose_server(view, "another lifetime answers")
-            case _ if view.silent_since_s is None:
-                view.silent_since_s = now_s
-                self._log.bind(server=view.life, answer=outcome.value).warning(
-                    "A server does not answer."
-                )
-        return False
-
-    def _take_row(self, view: ServerView, row: RunRow, now_s: float) -> None:
-        """Take what a server says of one run."""
-        run = view.runs.get(row.task)
-        if run is None or run.run != row.run:
-            self._stop_stray(view, row)
-            return
-        if not run.confirmed:
-            run.confirmed = True
-            run.settled_s = run.settled_s or now_s
-        if run.moved_s is None or run.percent != row.percent:
-            run.moved_s = now_s
-        run.percent = row.percent
-        if row.checkpoint and row.checkpoint != run.checkpoint:
-            run.checkpoint = row.checkpoint
-            run.saved_s = now_s
-
-    def _stop_stray(self, view: ServerView, row: RunRow) -> None:
-        """Have a run stopped that should not be there."""
-        known = view.runs.get(row.task)
-        if known is not None and known.run > row.run:
-            return
-        step_text, _, index = row.task.rpartition(".")
-        stray = RunView(row.task, read_step_key(step_text), int(index), row.run, self._clock.now())
-        stray.stopping = True
-        job = self.jobs.get(stray.key.job)
-        state = job.steps.get(stray.key) if job else None
-        if state is not None and known is None:
-            view.admit(stray, self._occupant(state, stray.index))
-        self._log.bind(task=row.task, run=row.run, server=view.life).warning(
-            "A run that nobody asked for is stopped."
-        )
-        self.send_stop(view, stray, "nobody asked for this run")
-
-    def _take_end(self, view: ServerView, row: EndRow) -> None:
-        """Take the end of a run."""
-        if row.number <= view.read_end:
-            return
-        view.read_end = row.number
-        run = view.runs.get(row.task)
-        if run is None or run.run != row.run:
-            return
-        self._blame(view, run, row.how)
-        self._end_run(view, run, row.how, row.checkpoint or run.checkpoint)
-
-    def _blame(self, view: ServerView, run: RunView, how: Ended) -> None:
-        """Set a server aside that fails many different jobs in a row."""
-        if how is Ended.DONE:
-            view.failed_jobs.clear()
-        if how is not Ended.FAILED:
-            return
-        view.failed_jobs.add(run.key.job)
-        job = self.jobs.get(run.key.job)
-        if job is not None:
-            job.suspects.setdefault(run.key, set()).add(view.life)
-        if len(view.failed_jobs) >= FAILING_JOBS:
-            view.suspect_until_s = self._clock.now() + SET_ASIDE_S
-            self._log.bind(server=view.life, jobs=len(view.failed_jobs)).warning(
-                "A server that fails many jobs is set aside."
-            )
-            view.failed_jobs.clear()
-
     def end_unstarted(self, view: ServerView, run: RunView, reason: str) -> None:
         """Note that a run was refused and never began."""
         with self.lock:
@@ -387,13 +274,13 @@
                 self._log.bind(task=run.task, run=run.run, server=view.life, reason=reason).info(
                     "A start was refused."
                 )
-                self._end_run(view, run, Ended.LOST, run.checkpoint)
+                self.end_run(view, run, Ended.LOST, run.checkpoint)
                 job = self.jobs.get(run.key.job)
                 if job is not None:
-                    job.paused_s[run.key] = self._clock.now() + REFUSED_PAUSE_S
+                    job.paused_s[run.key] = self.clock.now() + REFUSED_PAUSE_S
                 self.changed.set()
 
-    def _end_run(self, view: ServerView, run: RunView, how: Ended, checkpoint: str) -> None:
+    def end_run(self, view: ServerView, run: RunView, how: Ended, checkpoint: str) -> None:
         """Note that a run is over, and what follows for its step and job."""
         view.drop(run.task)
         job = self.jobs.get(run.key.job)
@@ -430,7 +317,7 @@
             if view is None or run is None or run.stopping:
                 return
             run.stopping = True
-            run.told_s = self._clock.now()
+            run.told_s = self.clock.now()
             self._log.bind(task=run.task, run=run.run, server=view.life, reason=reason).info(
                 "A run is stopped."
             )
@@ -451,7 +338,7 @@
     def finish_due(self) -> None:
         """Open the occurrences that are due, and end the jobs that are done."""
         with self.lock:
-            now_ms = self._clock.wall() * 1000
+            now_ms = self.clock.wall() * 1000
             for view in self.jobs.values():
                 if view.phase.final:
                     continue
@@ -466,7 +353,7 @@
     def _finish(self, view: JobView, phase: JobPhase, reason: str) -> None:
         """End a job and stop what still runs of it."""
         self._log.bind(job=view.job.id, phase=phase.value, reason=reason).info("A job has ended.")
-        view.ended_s = self._clock.now()
+        view.ended_s = self.clock.now()
         self._set_phase(view, phase)
         self._stop_leftovers(view)
 
--- a/libs/coordination/src/catkinknot/coordination/_leader.py
+++ b/libs/coordination/src/catkinknot/coordination/_leader.py
@@ -105,6 +105,7 @@
             self.recorder,
             clock=clock,
             stop_run=lambda view, run, reason: self._orders.stop(self.board, view, run),
+            forget_server=calls.forget,
             fence_s=clock.now(),
             inherited_s=CONFIRMED_S,
         )
--- a/libs/coordination/src/catkinknot/coordination/_orders.py
+++ b/libs/coordination/src/catkinknot/coordination/_orders.py
@@ -9,6 +9,7 @@
 from catkinknot.model import Clock
 
 from ._board import Board
+from ._reports import note_order
 from ._servers import OrderOutcome, OrderReply, ServerCalls, StartOrder, StopOrder
 from ._views import RunView, ServerView
 
@@ -100,7 +101,7 @@
             self._log.bind(
                 task=run.task, run=run.run, server=view.life, answer=reply.outcome.value
             ).info("A start was sent.")
-            board.note_order(view, reply.outcome is not OrderOutcome.SILENT)
+            note_order(board, view, reply.outcome is not OrderOutcome.SILENT)
             if self._started(board, view, run, reply):
                 return
             if reply.outcome is OrderOutcome.SILENT:
@@ -181,7 +182,7 @@
             self._log.bind(
                 task=run.task, run=run.run, server=view.life, answer=reply.outcome.value
             ).info("A stop was sent.")
-            board.note_order(view, reply.outcome is not OrderOutcome.SILENT)
+            note_order(board, view, reply.outcome is not OrderOutcome.SILENT)
             match reply.outcome:
                 case OrderOutcome.FENCED:
                     self._on_fenced()
--- a/libs/coordination/src/catkinknot/coordination/_planner.py
+++ b/libs/coordination/src/catkinknot/coordination/_planner.py
@@ -42,6 +42,9 @@
 URGENT_WAIT_S = 0.4
 """How long work on a guarantee waits for room before it stops others."""
 
+TELL_S = 0.3
+"""A step that waits this long is logged."""
+
 URGENT_EVICTION = 2.5
 """Work that may be thrown away for urgent work, as a multiple of its own."""
 
@@ -90,6 +93,7 @@
         self._start = start
         self._kept: dict[StepKey, _Kept] = {}
         self._demand: dict[str, Demand] = {}
+        self._told: set[StepKey] = set()
         self._log = logger.bind(part="planner")
 
     def plan(self) -> None:
@@ -109,13 +113,45 @@
             if not wanting:
                 return
             rooms = [view.room for view in board.servers.values()]
-            kept = self._keep_clear(rooms, wanting)
-            for one, placement in choose(wanting, rooms, self._clock.now(), kept=kept):
+            clear = self._keep_clear(rooms, wanting)
+            chosen = choose(wanting, rooms, self._clock.now(), urgent_only=clear)
+            for one, placement in chosen:
                 self._act(one, placement)
+            self._tell_waiting(wanting, {one.state.key for one, _ in chosen}, rooms, clear)
+
+    def _tell_waiting(
+        self,
+        wanting: list[Wanting],
+        chosen: set[StepKey],
+        rooms: list[Room],
+        clear: frozenset[str],
+    ) -> None:
+        """Log once for each step that it waits, and beside what."""
+        waiting = [one for one in wanting if one.state.key not in chosen]
+        self._told &= {one.state.key for one in waiting}
+        now_s = self._clock.now()
+        for one in waiting:
+            key = one.state.key
+            if key in self._told or now_s - one.due_s < TELL_S:
+                continue
+            self._told.add(key)
+            service = one.state.job.policy.service
+            pool = [room for room in rooms if room.open and room.service == service]
+            self._log.bind(
+                step=str(key),
+                tasks=len(one.state.waiting()),
+                waited_ms=int((now_s - one.due_s) * 1000),
+                priority=one.state.job.policy.priority,
+                guaranteed=one.guaranteed,
+                prospect=one.prospect.name.lower(),
+                servers=len(pool),
+                kept_clear=sum(room.server in clear for room in pool),
+                free_accelerators=sum(room.free().accelerators for room in pool),
+            ).info("A step waits.")
 
     def _keep_clear(self, rooms: list[Room], wanting: list[Wanting]) -> frozenset[str]:
         """Return the servers of each pool that are kept for urgent work."""
-        kept: set[str] = set()
+        clear: set[str] = set()
         pools: dict[str, list[Room]] = defaultdict(list)
         for room in rooms:
             if room.open:
@@ -123,8 +159,8 @@
         for service, members in pools.items():
             demand = self._demand.setdefault(service, Demand())
             demand.note(self._clock.now(), _urgent_accelerators(service, members, wanting))
-            kept |= keep_clear(members, demand.peak)
-        return frozenset(kept)
+            clear |= keep_clear(members, demand.peak)
+        return frozenset(clear)
 
     def _protect(self) -> None:
         """Say which running tasks their workspace's guarantee covers."""
--- a/libs/coordination/src/catkinknot/coordination/_watch.py
+++ b/libs/coordination/src/catkinknot/coordination/_watch.py
@@ -8,6 +8,7 @@
 from ._board import Board
 from ._orders import LEASE_S
 from ._recorder import Recorder
+from ._reports import take_hold
 from ._servers import HoldAnswer, OrderOutcome, ServerCalls
 from ._views import ServerView
 
@@ -102,7 +103,7 @@
         if answer.reply.outcome is OrderOutcome.FENCED:
             self._on_fenced()
         else:
-            self._board.on_hold(view, answer, now_s)
+            take_hold(self._board, view, answer, now_s)
         return answer
 
     def confirm_later(
--- a/libs/coordination/tests/test_leader.py
+++ b/libs/coordination/tests/test_leader.py
@@ -167,6 +167,16 @@
         self.play(3.0)
         self.assertLessEqual(len(asked), 8)
 
+    def test_connections_to_a_lost_server_are_closed(self) -> None:
+        """A server that is gone keeps no connections; one that came back does."""
+        gone = self.world.servers.by_id["s0"].listing
+        self.submit(job("a" * 16))
+        self.play(3.0)
+        self.world.servers.unlisted.add("s0")
+        self.world.servers.add("s9", CAPACITY)
+        self.play(1.0)
+        self.assertEqual(self.world.servers.forgotten, [gone.life])
+
     def test_silent_server_is_used_again(self) -> None:
         """A server that fell silent and has nothing to do gets work once it answers.
 
--- a/libs/jobs/src/catkinknot/jobs/_spec.py
+++ b/libs/jobs/src/catkinknot/jobs/_spec.py
@@ -5,8 +5,6 @@
 
 __all__ = ["Advice", "Job", "Policy", "Resources", "Schedule", "Step"]
 
-MS_PER_S = 1000
-
 
 class Resources(NamedTuple):
     """Count what a task takes or a server has.
--- a/libs/packing/src/catkinknot/packing/_plan.py
+++ b/libs/packing/src/catkinknot/packing/_plan.py
@@ -18,7 +18,7 @@
 
 
 IDLE_PATIENCE_S = 1.0
-"""How long other work leaves the kept servers alone while half of the pool is idle."""
+"""How long other work leaves servers that are kept clear alone beside an idle half."""
 
 
 SAVED_GANGS = 3
@@ -99,7 +99,7 @@
     rooms: list[Room],
     now_s: float,
     *,
-    kept: frozenset[str] = frozenset(),
+    urgent_only: frozenset[str] = frozenset(),
 ) -> list[tuple[Wanting, Placement]]:
     """Give servers to waiting steps, the most urgent first.
 
@@ -111,10 +111,10 @@
         wanting: What waits.
         rooms: All servers.
         now_s: The present time.
-        kept: Servers on which only urgent work may start.
+        urgent_only: Servers on which only urgent work may start.
     """
     chosen = []
-    look = _Look(Groups(rooms), kept)
+    look = _Look(Groups(rooms), urgent_only)
     for one in sorted(wanting, key=lambda w: w.order):
         found = _serve(one, rooms, now_s, look)
         if found is None:
@@ -131,7 +131,7 @@
 
     Attributes:
         groups: Everything that runs, by what is stopped together.
-        kept: Servers on which only urgent work may start.
+        urgent_only: Servers on which only urgent work may start.
         evictions: Steps that looked for victims.
         full: What no server has room for; room only shrinks in a round.
         idle: Whether more than half of a pool was idle, by pool.
@@ -140,7 +140,7 @@
     """
 
     groups: Groups
-    kept: frozenset[str]
+    urgent_only: frozenset[str]
     evictions: int = 0
     full: set[tuple] = field(default_factory=set)
     idle: dict[str, bool] = field(default_factory=dict)
@@ -161,7 +161,7 @@
     plain = not (one.suspects or step.data_rack or step.max_per_server)
     if kind in look.full and not one.evicts:
         return None
-    if policy.priority and (look.kept or look.saved):
+    if policy.priority and (look.urgent_only or look.saved):
         rooms = _rooms_of_less_urgent(one, rooms, now_s, look)
     for req in _requests(one, rooms, now_s):
         found = place(req) if kind not in look.full else None
@@ -179,13 +179,13 @@
 
 
 def _rooms_of_less_urgent(one: Wanting, rooms: list[Room], now_s: float, look: _Look) -> list[Room]:
-    """Leave out kept and saved servers, unless the step would wait for nothing."""
+    """Leave out servers that are kept clear or saved, unless the step would wait for nothing."""
     step, service = one.state.step, one.state.job.policy.service
     priority = one.state.job.policy.priority
     others = [
         room
         for room in rooms
-        if room.server not in look.kept and look.saved.get(room.server, priority) >= priority
+        if room.server not in look.urgent_only and look.saved.get(room.server, priority) >= priority
     ]
     least = len(one.state.waiting()) if step.gang else 1
     if not _could_take(one.state, others, least):
@@ -209,7 +209,7 @@
         room for room in rooms if room.takes(policy.service, step) and room.server not in look.saved
     ]
     if policy.priority:
-        usable = [room for room in usable if room.server not in look.kept]
+        usable = [room for room in usable if room.server not in look.urgent_only]
     pool = sum(room.service == policy.service for room in rooms)
     chosen = _soonest(one.state, usable, policy.priority)
     if chosen and len(look.saved) + len(chosen) <= SAVED_SHARE * pool:
--- a/standins/src/catkinknot_standins/_task_server.py
+++ b/standins/src/catkinknot_standins/_task_server.py
@@ -208,6 +208,7 @@
         self.by_id: dict[str, TaskServer] = {}
         self.past: list[TaskServer] = []
         self.unlisted: set[str] = set()
+        self.forgotten: list[str] = []
 
     def add(self, name: str, capacity: Resources, *, rack: str = "r1", **extra) -> TaskServer:
         """Add a server, or another lifetime of one."""
@@ -267,7 +268,8 @@
         return found.hold(token, seen_end, until_ms)
 
     def forget(self, server: Listing) -> None:
-        """Do nothing; there are no connections."""
+        """Note that connections to a server were closed."""
+        self.forgotten.append(server.life)
 
     def _reach(self, server: Listing, order: StartOrder | StopOrder) -> OrderReply:
         """Hand an order to the lifetime it is meant for."""
