Let the soak draw the same jobs each time, and only ones that can run

Callers' threads also shared one source of random numbers, so a seed's jobs changed from play to play. Ruled out: a fault of the instances; a first reckoning of the open jobs from the shared numbers seemed to show jobs that could run, but it can't tell where a draw begins.

--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -73,21 +73,29 @@
             seed: What the jobs are drawn from.
         """
         self._instances = instances
-        self._rng = random.Random(seed + 1)
+        self._seed = seed
+        self._choice = random.Random(seed)
         self._numbers = itertools.count()
         self._lock = threading.Lock()
         self._pool = urllib3.PoolManager(maxsize=8, retries=False)
         self.work: list[Work] = []
         self.faults: list[str] = []
 
-    def submit_some(self, stopped: threading.Event, pause_s: float) -> None:
-        """Hand jobs in one after the other until told to stop."""
-        while not stopped.wait(self._rng.uniform(0, 2 * pause_s)):
-            work = self._draw()
+    def submit_some(self, number: int, stopped: threading.Event, pause_s: float) -> None:
+        """Hand jobs in one after the other until told to stop.
+
+        Args:
+            number: Which caller this is; each draws its own jobs.
+            stopped: Set at the end.
+            pause_s: Pause between two jobs, on average.
+        """
+        rng = random.Random(f"{self._seed}-{number}")
+        while not stopped.wait(rng.uniform(0, 2 * pause_s)):
+            work = self._draw(rng)
             with self._lock:
                 self.work.append(work)
-            self._submit(work)
-            if work.accepted_s and self._rng.random() < CANCEL_SHARE:
+            self._submit(work, repeats=rng.random() < LATE_REPEAT_SHARE)
+            if work.accepted_s and rng.random() < CANCEL_SHARE:
                 self._cancel(work)
 
     def look_at_all(self, check) -> bool:
@@ -122,7 +130,7 @@
         instance: Instance | None = None,
     ) -> tuple[int, dict]:
         """Make one call; 0 stands for no answer."""
-        chosen = instance or self._rng.choice(self._instances)
+        chosen = instance or self._choice.choice(self._instances)
         headers = {"Host": HOST, "X-Api-Key": KEY, "X-Deadline-Remaining": str(int(WAIT_S * 1000))}
         url = f"http://{chosen.callers.address}{path}"
         raw = json.dumps(body).encode() if body is not None else None
@@ -132,9 +140,8 @@
         except (urllib3.exceptions.HTTPError, ValueError):
             return 0, {}
 
-    def _draw(self) -> Work:
-        """Return a new job."""
-        rng = self._rng
+    def _draw(self, rng: random.Random) -> Work:
+        """Return a new job that six servers can run."""
         step = {
             "count": rng.choice((1, 1, 2, 3, 6)),
             "cpu": 1000,
@@ -150,14 +157,14 @@
         job_id = f"{rng.getrandbits(40):010x}{next(self._numbers):06x}"
         return Work(job_id, f"/q{rng.randrange(3)}/{job_id}", steps)
 
-    def _submit(self, work: Work) -> None:
+    def _submit(self, work: Work, *, repeats: bool) -> None:
         """Hand a job in until it is accepted, or give up."""
         for _ in range(TRIES):
             status, _ = self.call("POST", work.path, body={"spec": "soak", "steps": work.steps})
             work.answers.append(status)
             if status == 200:
                 work.accepted_s = work.accepted_s or time.monotonic()
-                if self._rng.random() < LATE_REPEAT_SHARE:
+                if repeats:
                     self.call("POST", work.path, body={"spec": "soak", "steps": work.steps})
                 return
             time.sleep(AGAIN_S)
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -111,8 +111,8 @@
     def wait_up(self) -> None:
         """Wait until every instance answers callers."""
         self._wait(lambda: all(self._queues_of(one) for one in self.instances), UP_S, "start")
-        for _ in range(CALLER_THREADS):
-            self._spawn(self.callers.submit_some, self._stopped, CALLER_PAUSE_S)
+        for number in range(CALLER_THREADS):
+            self._spawn(self.callers.submit_some, number, self._stopped, CALLER_PAUSE_S)
         self._spawn(self._watch)
         self._spawn(self._tick)
 
@@ -189,8 +189,9 @@
             if done():
                 return True
             time.sleep(POLL_S)
-        open_jobs = [w.id for w in self.callers.work if w.accepted_s and w.shown not in _ENDED]
-        self._result.faults.append(f"LOST: no {what} in {limit_s:.0f} s, open: {open_jobs[:5]}")
+        works = self.callers.work
+        open_jobs = [(w.id, w.steps) for w in works if w.accepted_s and w.shown not in _ENDED]
+        self._result.faults.append(f"LOST: no {what} in {limit_s:.0f} s, open: {open_jobs[:3]}")
         return False
 
     def _tick(self) -> None:
