--- a/measure/_fleet.py
+++ b/measure/_fleet.py
@@ -15,7 +15,7 @@
     write_job,
     write_step,
 )
-from catkinknot.packing import Occupant, Room, Wanting, choose
+from catkinknot.packing import Occupant, Room, Wanting, choose, keep_clear
 
 from ._report import Report
 
@@ -37,6 +37,10 @@
         for name, evicts in (("into free room", False), ("by stopping others", True)):
             took_ms = statistics.median(_round_ms(servers, evicts) for _ in range(_ROUNDS))
             report.add(f"one gang of 4 placed {name} at {servers} servers", "ms", took_ms)
+        took_ms = statistics.median(_clear_ms(servers) for _ in range(_ROUNDS))
+        report.add(f"servers kept clear at {servers} servers", "ms", took_ms)
+        took_ms = statistics.median(_saving_ms(servers) for _ in range(_ROUNDS))
+        report.add(f"three gangs that wait and one backfill at {servers} servers", "ms", took_ms)
     report.add("memory of a job in the book", "KB", _job_kb())
     job = _job("0123456789abcdef", 4)
     state = StepState(StepKey(job.id, 0, 0), job.steps[0], job)
@@ -53,23 +57,52 @@
 
 def _round_ms(servers: int, evicts: bool) -> float:
     """Return the time of one round for one gang."""
+    rooms = _rooms(servers, _TASKS_A_SERVER if evicts else _TASKS_A_SERVER // 4)
+    job = _job("0123456789abcdef", 4)
+    wanting = Wanting(StepState(StepKey(job.id, 0, 0), job.steps[0], job), 0.0, evicts=evicts)
+    began_s = time.perf_counter()
+    chosen = choose([wanting], rooms, 1.0)
+    took_s = time.perf_counter() - began_s
+    if not chosen:
+        raise AssertionError("the gang found no place")
+    return took_s * 1000
+
+
+def _rooms(servers: int, taken: int) -> list[Room]:
+    """Return servers with some small tasks on each."""
     rooms = []
     for i in range(servers):
         capacity = Resources(32_000, 65_536, 8)
         room = Room(f"s{i}", "a", f"r{i // 6}", frozenset(), "log", capacity)
-        taken = _TASKS_A_SERVER if evicts else _TASKS_A_SERVER // 4
         for j in range(taken):
             need = Resources(2800, 4100, 1)
             room.put(Occupant(f"t{i}.{j}", f"t{i}.{j}", "s", need, 2, unsaved_core_s=float(j)))
         rooms.append(room)
-    job = _job("0123456789abcdef", 4)
-    wanting = Wanting(StepState(StepKey(job.id, 0, 0), job.steps[0], job), 0.0, evicts=evicts)
+    return rooms
+
+
+def _clear_ms(servers: int) -> float:
+    """Return the time to choose the servers that are kept clear."""
+    rooms = _rooms(servers, _TASKS_A_SERVER // 2)
     began_s = time.perf_counter()
-    chosen = choose([wanting], rooms, 1.0)
-    took_s = time.perf_counter() - began_s
-    if not chosen:
-        raise AssertionError("the gang found no place")
-    return took_s * 1000
+    keep_clear(rooms, servers)
+    return (time.perf_counter() - began_s) * 1000
+
+
+def _saving_ms(servers: int) -> float:
+    """Return the time of one round for gangs that find no room, and small work after them."""
+    rooms = _rooms(servers, _TASKS_A_SERVER - 1)
+    wanting = []
+    for i in range(3):
+        job = _job(f"{i:016x}", 4)
+        state = StepState(StepKey(job.id, 0, 0), job.steps[0], job)
+        wanting.append(Wanting(state, 0.0, evicts=False))
+    step = Step(10 * servers, Resources(2800, 4100, 1), estimate_ms=9500)
+    small = Job("f" * 16, "engineers", Policy("recompile", "log", priority=2), "", (step,), 1)
+    wanting.append(Wanting(StepState(StepKey(small.id, 0, 0), step, small), 0.0, evicts=False))
+    began_s = time.perf_counter()
+    choose(wanting, rooms, 1.0)
+    return (time.perf_counter() - began_s) * 1000
 
 
 def _job_kb() -> float:
--- a/standins/src/catkinknot_standins/__init__.py
+++ b/standins/src/catkinknot_standins/__init__.py
@@ -8,9 +8,11 @@
 from ._keyed_store import KeyedStore, StoreFaults, StoreView
 from ._log_store import LogStore
 from ._platform_http import entry_of, open_http, server_app, store_app
+from ._ports import IP, free_ports
 from ._task_server import ServerFaults, TaskServer, TaskServers
 
 __all__ = [
+    "IP",
     "BackendServer",
     "Faults",
     "InstanceList",
@@ -25,6 +27,7 @@
     "TaskServers",
     "backend_app",
     "entry_of",
+    "free_ports",
     "list_app",
     "log_app",
     "open_http",
--- /dev/null
+++ b/standins/src/catkinknot_standins/_ports.py
@@ -0,0 +1,30 @@
+"""Find ports of loopback on which processes can listen."""
+
+import itertools
+import os
+import socket
+
+__all__ = ["IP", "free_ports"]
+
+IP = "127.0.0.1"
+
+_PORTS = itertools.cycle(range(20_000 + os.getpid() % 100 * 120, 32_000))
+"""Ports to try, beginning elsewhere in each process."""
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports on which nothing listens now.
+
+    They lie below the range from which the kernel takes ports for outgoing
+    connections, so that none is taken before its process listens.
+    """
+    found: list[int] = []
+    while len(found) < count:
+        port = next(_PORTS)
+        with socket.socket() as sock:
+            try:
+                sock.bind((IP, port))
+            except OSError:
+                continue
+        found.append(port)
+    return found
--- a/soak/__main__.py
+++ b/standins/src/catkinknot_standins/soak/__main__.py
@@ -1,4 +1,4 @@
-"""Play seeds from the command line: ``python -m soak --seeds 1:50``."""
+"""Play seeds from the command line: ``python -m catkinknot_standins.soak --seeds 1:50``."""
 
 import os
 import signal
--- a/soak/_instances.py
+++ b/standins/src/catkinknot_standins/soak/_instances.py
@@ -9,9 +9,9 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from tools.stage import free_ports
+from catkinknot_standins import IP, free_ports
 
-from ._proxy import IP, Proxy, open_proxy
+from ._proxy import Proxy, open_proxy
 
 __all__ = ["Instance", "end_all", "open_instance"]
 
--- a/soak/_proxy.py
+++ b/standins/src/catkinknot_standins/soak/_proxy.py
@@ -8,6 +8,8 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from catkinknot_standins import IP
+
 __all__ = ["Harm", "Proxy", "open_proxy"]
 
 CHUNK_BYTES = 65536
@@ -15,7 +17,6 @@
 LOOK_S = 0.2
 """How long a break of connections may take to be seen."""
 
-IP = "127.0.0.1"
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
--- a/tools/stage.py
+++ b/tools/stage.py
@@ -1,6 +1,5 @@
 """Start a whole deployment of plain processes on loopback, and stop it."""
 
-import itertools
 import json
 import os
 import signal
@@ -16,11 +15,10 @@
 
 import urllib3
 
-IP = "127.0.0.1"
+from catkinknot_standins import IP, free_ports
+
 _START_S = 30.0
 _STOP_S = 20.0
-_PORTS = itertools.cycle(range(20_000 + os.getpid() % 100 * 120, 32_000))
-"""Ports to try, beginning elsewhere in each process."""
 
 
 @dataclass(frozen=True)
@@ -226,21 +224,3 @@
             yield stage
         finally:
             stage.close()
-
-
-def free_ports(count: int) -> list[int]:
-    """Return ports on which nothing listens now.
-
-    They lie below the range from which the kernel takes ports for outgoing
-    connections, so that none is taken before its process listens.
-    """
-    found: list[int] = []
-    while len(found) < count:
-        port = next(_PORTS)
-        with socket.socket() as sock:
-            try:
-                sock.bind((IP, port))
-            except OSError:
-                continue
-        found.append(port)
-    return found
