--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 STAMP := $(VENV)/.ready
 SOURCES := $(wildcard libs/*/pyproject.toml) app/pyproject.toml platform/pyproject.toml standins/pyproject.toml
 
-.PHONY: run test lint format measure binary clean
+.PHONY: run run-platform test lint format measure binary clean
 
 $(STAMP): requirements.txt requirements-dev.txt constraints.txt $(SOURCES)
 	$(PYTHON) -m venv $(VENV)
@@ -16,6 +16,9 @@
 run: $(STAMP)
 	$(BIN)/python tools/demo.py $(if $(KEEP),--keep)
 
+run-platform: $(STAMP)
+	$(BIN)/python tools/demo_platform.py $(if $(KEEP),--keep)
+
 test: $(STAMP)
 	$(BIN)/python tools/run_tests.py
 
--- a/standins/src/catkinknot_standins/soak/__init__.py
+++ b/standins/src/catkinknot_standins/soak/__init__.py
@@ -1,1 +1,29 @@
 """Run real instances for a while under faults from outside, and check what they promise."""
+
+from ._callers import Callers, Work
+from ._checks import check_completed, check_history
+from ._instances import Instance, open_instance
+from ._outside import CAPACITY, DriftingServer, Outside
+from ._plan import Event, Kind, draw
+from ._proxy import Harm, Proxy, open_proxy
+from ._run import Result, play
+
+__all__ = [
+    "CAPACITY",
+    "Callers",
+    "DriftingServer",
+    "Event",
+    "Harm",
+    "Instance",
+    "Kind",
+    "Outside",
+    "Proxy",
+    "Result",
+    "Work",
+    "check_completed",
+    "check_history",
+    "draw",
+    "open_instance",
+    "open_proxy",
+    "play",
+]
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,12 +8,18 @@
 from catkinknot.coordination import Listing, StartOrder
 from catkinknot.jobs import Ended
 from catkinknot.model import SteppedClock
-from catkinknot_standins.soak._callers import Work
-from catkinknot_standins.soak._checks import check_completed, check_history
-from catkinknot_standins.soak._outside import CAPACITY, DriftingServer
-from catkinknot_standins.soak._plan import Kind, draw
-from catkinknot_standins.soak._proxy import Harm, open_proxy
-from catkinknot_standins.soak._run import play
+from catkinknot_standins.soak import (
+    CAPACITY,
+    DriftingServer,
+    Harm,
+    Kind,
+    Work,
+    check_completed,
+    check_history,
+    draw,
+    open_proxy,
+    play,
+)
 
 JOB = "a" * 16
 WAIT_S = 5.0
