Leave work on a server that takes its notice back

Cause: read in the diff: a server that had said it drains kept its time of leaving for good, so if the same lifetime was ready again its runs would have been stopped over and over. Figures: the new test failed before (8 tasks running, 16 wanted).

--- a/libs/coordination/src/catkinknot/coordination/_board.py
+++ b/libs/coordination/src/catkinknot/coordination/_board.py
@@ -168,7 +168,9 @@
             self._log.bind(
                 server=view.life, draining=listing.draining, service=listing.service
             ).info("A server is listed.")
-        if listing.draining and (view.leaves_s is None or view.listing != listing):
+        if not listing.draining:
+            view.leaves_s = None
+        elif view.leaves_s is None or view.listing != listing:
             view.leaves_s = now_s + listing.remaining_ms / 1000
         view.listed = True
         view.listing = listing
--- a/libs/coordination/src/catkinknot/coordination/_drain.py
+++ b/libs/coordination/src/catkinknot/coordination/_drain.py
@@ -4,7 +4,7 @@
 from catkinknot.model import Clock
 
 from ._board import Board
-from ._views import RunView, ServerView
+from ._views import RunView
 
 __all__ = ["leave_draining"]
 
@@ -32,7 +32,9 @@
                 continue
             left_s = _left_s(run, state, now_s)
             if now_s + left_s > view.leaves_s + STAY_S:
-                _move(board, view, run, state, left_s, now_s)
+                stays_s = view.leaves_s - now_s
+                reason = f"{view.life} leaves in {stays_s:.1f} s, the run needs {left_s:.1f} s"
+                board.stop_task(state, run.index, reason)
 
 
 def _state_of(board: Board, run: RunView) -> StepState | None:
@@ -50,11 +52,3 @@
         whole_s = (run.moved_s - run.assigned_s) * 100 / run.percent
         return max(0.0, whole_s - ran_s)
     return max(0.0, state.step.estimate_ms / 1000 - ran_s)
-
-
-def _move(
-    board: Board, view: ServerView, run: RunView, state: StepState, left_s: float, now_s: float
-) -> None:
-    """Stop a run so that it starts again elsewhere."""
-    reason = f"{view.life} leaves in {view.leaves_s - now_s:.1f} s, the run needs {left_s:.1f} s"
-    board.stop_task(state, run.index, reason)
--- a/libs/coordination/src/catkinknot/coordination/_recorder.py
+++ b/libs/coordination/src/catkinknot/coordination/_recorder.py
@@ -35,7 +35,7 @@
 """
 
 LONGEST_APPEND_S = 2.4
-"""The same at most; the store refuses what it can't begin within 2 s."""
+"""How long an append waits at most; the store refuses what it can't begin within 2 s."""
 
 
 def lead_mark(epoch: int, instance: str, nonce: str, *, resigned: bool = False) -> Record:
--- a/libs/coordination/tests/test_leader.py
+++ b/libs/coordination/tests/test_leader.py
@@ -2,6 +2,7 @@
 
 import threading
 import unittest
+from dataclasses import replace
 
 from stepping import CAPACITY, LONGEST_LEASE_S, Instance, World, job, play, step
 
@@ -267,6 +268,19 @@
         ends = {how for s in self.world.servers.all() for *_, how in s.finished}
         self.assertEqual(ends, {Ended.DONE})
 
+    def test_server_that_stays_after_all(self) -> None:
+        """A server that takes its notice back keeps its work, and gets more."""
+        self.submit(job("a" * 16, step(2, gpu=4)))
+        self.play(1.5)
+        [server] = [s for s in self.world.servers.by_id.values() if s.running()]
+        self.world.servers.drain(server.listing.id, self.NOTICE_MS)
+        self.play(0.2)
+        server.listing = replace(server.listing, draining=False)
+        self.play(1.0)
+        self.submit(job("b" * 16, step(16)))
+        self.play(1.5)
+        self.assertEqual(len(self.world.running()), 16)
+
     def test_gang_moves_whole(self) -> None:
         """A gang with one member on a leaving server starts again as one run."""
         self.submit(job("a" * 16, step(2, gpu=8, gang=True)))
