Drop what nothing uses in the soak

Cause: read in the diff: a constant, a server's field that was only written, and a harm that no fault draws were left from the first version. Ruled out: code of an instance changes (it is not touched).

--- a/standins/src/catkinknot_standins/soak/_outside.py
+++ b/standins/src/catkinknot_standins/soak/_outside.py
@@ -28,7 +28,6 @@
 SERVICE = "render"
 WORK_S = 0.8
 HEARTBEAT_S = 0.5
-UNLISTED_S = 1.5
 DRAIN_S = 2.0
 THREADS = 12
 
@@ -70,7 +69,6 @@
     lives: list[DriftingServer]
     proxy: Proxy
     lock: threading.Lock = field(default_factory=threading.Lock)
-    listed: bool = True
 
     @property
     def life(self) -> DriftingServer:
@@ -152,7 +150,6 @@
         with server.lock:
             server.life.crash()
             server.lives.append(self._new_life(server.name, len(server.lives)))
-            server.listed = True
 
     def drain(self, server: Server) -> None:
         """Let a server say that it leaves, leave, and come back."""
--- a/standins/src/catkinknot_standins/soak/_proxy.py
+++ b/standins/src/catkinknot_standins/soak/_proxy.py
@@ -27,7 +27,6 @@
     SILENCE = "silence"
     NO_ANSWERS = "answers are lost"
     DELAY = "delay"
-    REFUSE = "refuse"
 
 
 @dataclass(eq=False)
@@ -83,10 +82,6 @@
                 near, _ = listener.accept()
             except OSError:
                 return
-            if self.harm is Harm.REFUSE:
-                near.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
-                near.close()
-                continue
             try:
                 far = socket.create_connection((IP, self.far), timeout=1.0)
             except OSError:
