Withhold the acknowledgement of an end whose task was started again

When the first server is heard again, its list of ends was passed over and acknowledged with the next renewal, which makes the later start a repetition of finished work. Ruled out: waiting with the task until the server can be asked, since a lost server would hold its work for ever. Change: the cursor of a server stays below the first done end of a run that was superseded, unless the list shows that the lease lapsed after it. Such a server is polled each 0.4 s, not in a loop, and gets no work above 400 ends in its list. The emulated server no longer lets the lease of an idle server lapse, and lists 500 ends at most; the histories check ends that are acknowledged after the later start, too, which is stricter than before.

--- a/libs/coordination/src/catkinknot/coordination/_cluster_state.py
+++ b/libs/coordination/src/catkinknot/coordination/_cluster_state.py
@@ -37,6 +37,9 @@
 QUARANTINE_S = 6.0
 """Time for which a server that fails many jobs gets no new work."""
 
+MAX_UNACKNOWLEDGED_END_COUNT = 400
+"""Unacknowledged ends above which a server gets no new work; one answer lists 500 at most."""
+
 
 class ClusterState:
     """All jobs, servers and runs known to the leader; methods acquire the lock themselves.
@@ -208,6 +211,7 @@
                     and view.unresponsive_since_s is None
                     and not view.lease_expired
                     and now_s >= view.quarantined_until_s
+                    and view.read_end - view.seen_end <= MAX_UNACKNOWLEDGED_END_COUNT
                 )
                 for task, occupant in view.room.occupants.items():
                     run = view.runs[task]
--- a/libs/coordination/src/catkinknot/coordination/_reports.py
+++ b/libs/coordination/src/catkinknot/coordination/_reports.py
@@ -16,6 +16,9 @@
 MAX_UNANSWERED_ORDER_COUNT = 3
 """Consecutive orders without an answer after which a server counts as unresponsive."""
 
+MAX_LISTED_END_COUNT = 500
+"""Most ends in one answer of a server; an answer with as many may leave later ones out."""
+
 _LOG = logger.bind(part="board")
 
 
@@ -37,20 +40,62 @@
         view.note_clock(answer.reply.clock_ms, now_s)
         cluster.mark_responsive(view)
         before = len(view.runs)
+        _withhold_superseded_ends(cluster, view, answer.ended)
         for row in answer.ended:
             _apply_end_row(cluster, view, row)
-        running = {row.task: row for row in answer.running}
         for row in answer.running:
             _apply_run_row(cluster, view, row, now_s)
-        for run in list(view.runs.values()):
-            gone = run.start_resolved_s is not None and run.start_resolved_s < sent_s
-            row = running.get(run.task)
-            if gone and (row is None or row.run != run.run):
-                cluster.end_run(view, run, RunOutcome.LOST, run.checkpoint)
+        if len(answer.ended) < MAX_LISTED_END_COUNT:
+            _end_missing_runs(cluster, view, answer, sent_s)
         if len(view.runs) != before:
             cluster.changed.set()
 
 
+def _withhold_superseded_ends(
+    cluster: ClusterState, view: ServerView, ended: tuple[EndRow, ...]
+) -> None:
+    """Find the first end that must not be acknowledged.
+
+    A task may have been started again before the server could report that an
+    earlier run was done. Acknowledging that report would make the later start
+    a second run of finished work. A lease that lapsed after the end voids it.
+    """
+    lapsed = max((row.number for row in ended if row.how is RunOutcome.LAPSED), default=0)
+    numbers = (
+        row.number
+        for row in ended
+        if row.how is RunOutcome.DONE
+        and row.number > lapsed
+        and (row.number == view.withheld_end or _is_superseded(cluster, row))
+    )
+    withheld = min(numbers, default=None)
+    if withheld is not None and withheld != view.withheld_end:
+        _LOG.bind(server=view.lifetime, end=withheld, acknowledged=view.seen_end).warning(
+            "The end of a run whose task was started again is not acknowledged."
+        )
+    view.withheld_end = withheld
+
+
+def _is_superseded(cluster: ClusterState, row: EndRow) -> bool:
+    """Return whether a later run of the task has been assigned to a server."""
+    step_text, _, index = row.task.rpartition(".")
+    key = read_step_key(step_text)
+    job = cluster.jobs.get(key.job)
+    state = job.steps.get(key) if job else None
+    return state is not None and state.tasks[int(index)].run > row.run
+
+
+def _end_missing_runs(
+    cluster: ClusterState, view: ServerView, answer: HoldAnswer, sent_s: float
+) -> None:
+    """End the runs that a server lists neither as running nor as ended."""
+    running = {row.task: row.run for row in answer.running}
+    for run in list(view.runs.values()):
+        resolved = run.start_resolved_s is not None and run.start_resolved_s < sent_s
+        if resolved and running.get(run.task) != run.run:
+            cluster.end_run(view, run, RunOutcome.LOST, run.checkpoint)
+
+
 def note_order(cluster: ClusterState, view: ServerView, answered: bool) -> None:
     """Count unanswered orders in a row.
 
--- a/libs/coordination/src/catkinknot/coordination/_views.py
+++ b/libs/coordination/src/catkinknot/coordination/_views.py
@@ -73,6 +73,9 @@
         lease_end_s: When all its runs have been killed unless its lease is renewed.
         seen_end: Number of the last end that is in the ledger.
         read_end: Number of the last end that was read.
+        withheld_end: Number of the first end that must not be acknowledged, None
+            if every end may be. It reports as done a run whose task was started
+            again, because the server could not be heard in time.
         last_response_s: When the server last answered a lease renewal, None before
             the first answer.
         unresponsive_since_s: When the server became unresponsive, None while it
@@ -96,6 +99,7 @@
     lease_end_s: float = 0.0
     seen_end: int = 0
     read_end: int = 0
+    withheld_end: int | None = None
     last_response_s: float | None = None
     unresponsive_since_s: float | None = None
     unanswered: int = 0
@@ -105,6 +109,13 @@
     lease_expired: bool = False
     shutdown_at_s: float | None = None
 
+    @property
+    def acknowledgeable_end(self) -> int:
+        """Number of the last end that was read and may be acknowledged."""
+        if self.withheld_end is None:
+            return self.read_end
+        return min(self.read_end, self.withheld_end - 1)
+
     def note_clock(self, clock_ms: int, now_s: float) -> None:
         """Update the clock offset from a reading, unless the reading is missing (0)."""
         if clock_ms:
--- a/libs/coordination/src/catkinknot/coordination/_watch.py
+++ b/libs/coordination/src/catkinknot/coordination/_watch.py
@@ -29,6 +29,9 @@
 IDLE_RETRY_S = 0.8
 """The same while the server has no runs."""
 
+WITHHELD_POLL_S = 0.4
+"""Pause between renewals at a server with a withheld end, which answers without waiting."""
+
 
 class Watcher:
     """Renews the leases of servers and acknowledges ends once the store has recorded them."""
@@ -80,6 +83,8 @@
                 RECORD_WAIT_S
             ):
                 stopped.wait(RETRY_S)
+            elif view.withheld_end is not None:
+                stopped.wait(WITHHELD_POLL_S)
 
     def hold(self, view: ServerView, wait_s: float) -> HoldAnswer:
         """Renew a server's lease once and apply the answer.
@@ -114,11 +119,11 @@
         """Let later renewals acknowledge ends once these are recorded.
 
         Returns:
-            Whether the answer holds any ends.
+            Whether the answer holds any ends to acknowledge.
         """
-        if not answer.ended:
+        last = view.acknowledgeable_end
+        if not answer.ended or last <= view.seen_end:
             return False
-        last = max(row.number for row in answer.ended)
 
         def confirm() -> None:
             view.seen_end = max(view.seen_end, last)
@@ -137,12 +142,12 @@
     if view.listing is None:
         return False
     unresponsive = view.listed and (view.lease_expired or view.unresponsive_since_s is not None)
-    return bool(view.runs or unresponsive or view.read_end > view.seen_end)
+    return bool(view.runs or unresponsive or view.acknowledgeable_end > view.seen_end)
 
 
 def _wait_s(view: ServerView) -> float:
     """Return how long the server may wait for an end before it answers."""
-    if view.read_end > view.seen_end or view.unresponsive_since_s is not None:
+    if view.acknowledgeable_end > view.seen_end or view.unresponsive_since_s is not None:
         return 0.0
     unresolved = any(run.start_resolved_s is None or run.stopping for run in view.runs.values())
     return SHORT_WAIT_S if unresolved else LONG_WAIT_S
--- a/libs/coordination/tests/test_leader.py
+++ b/libs/coordination/tests/test_leader.py
@@ -7,7 +7,8 @@
 from stepping import CAPACITY, MAX_LEASE_S, Environment, Instance, job, run_for, step
 
 from catkinknot.coordination import JOBS, RUNS, Verdict
-from catkinknot.jobs import JobPhase, RunOutcome
+from catkinknot.coordination._watch import needs_watch
+from catkinknot.jobs import JobPhase, Resources, RunOutcome
 
 DEADLINE_S = 1e9
 
@@ -199,6 +200,67 @@
                 self.assertEqual(self.first.phase("a" * 16), JobPhase.COMPLETED)
                 self.assertEqual(len(server.starts), count)
 
+    def test_done_end_of_a_restarted_task_is_not_acknowledged(self) -> None:
+        """An end that is heard after its task was started again is never acknowledged.
+
+        A server is cut off, completes its task unheard, and another server
+        starts the task once the lease has expired. Acknowledging the first
+        end afterwards would turn the second start into a repetition.
+        """
+        for count, gang in ((1, False), (2, True)):
+            with self.subTest(gang=gang):
+                self.setUp()
+                self.submit(job("a" * 16, step(count, gang=gang)))
+                self.run_for(0.5)
+                server = self.env.servers.by_id["s0"]
+                server.faults.drop_requests = True
+                other = self.env.servers.add("s9", CAPACITY)
+                self.run_for(MAX_LEASE_S)
+                self.assertEqual(len(other.starts), count)
+                server.faults.drop_requests = False
+                self.run_for(3.0)
+                self.assertFalse(needs_watch(self.first.cluster.servers[server.listing.lifetime]))
+                self.env.servers.unlisted.add("s9")
+                self.submit(job("b" * 16))
+                self.run_for(4.0)
+                self.assertEqual(self.first.phase("b" * 16), JobPhase.COMPLETED)
+                self.assertEqual(server.acknowledged_at_s, {})
+                self.assertEqual(len(server.starts), count + 1)
+
+    def test_lapse_voids_an_earlier_done_end(self) -> None:
+        """An end before a lapse of the lease is acknowledged with the ends after it."""
+        self.env.servers.by_id["s0"].work_s = 2.0
+        self.submit(job("a" * 16))
+        self.run_for(0.5)
+        server = self.env.servers.by_id["s0"]
+        server.work_s = 60.0
+        self.submit(job("b" * 16))
+        self.run_for(0.5)
+        server.faults.drop_requests = True
+        self.env.servers.add("s9", CAPACITY)
+        self.run_for(MAX_LEASE_S)
+        server.faults.drop_requests = False
+        self.run_for(3.0)
+        view = self.first.cluster.servers[server.listing.lifetime]
+        self.assertIsNone(view.withheld_end)
+        self.assertEqual(view.seen_end, 2)
+
+    def test_more_ends_than_one_answer_lists(self) -> None:
+        """A run whose end is not listed yet is not taken for lost.
+
+        An answer lists 500 ends at most. A run that is neither running nor
+        among the first 500 has still ended, and must not be started again.
+        """
+        server = self.env.servers.by_id["s0"]
+        server.listing = replace(server.listing, capacity=Resources(10**6, 10**6, 600))
+        self.run_for(0.2)
+        self.submit(job("a" * 16, step(600)))
+        self.run_for(0.5)
+        self.assertEqual(len(server.starts), 600)
+        self.run_for(4.0)
+        self.assertEqual(self.first.phase("a" * 16), JobPhase.COMPLETED)
+        self.assertEqual(len(server.starts), 600)
+
     def test_unresponsive_server_is_used_again(self) -> None:
         """An unresponsive server without runs gets work once it answers again.
 
--- a/libs/coordination/tests/test_leader_histories.py
+++ b/libs/coordination/tests/test_leader_histories.py
@@ -23,6 +23,7 @@
 REGRESSION_SEEDS = (
     1,  # A start that was too late because of a stale clock was retried forever.
     32,  # A stop whose attempts all failed was never sent again.
+    58,  # A successor did not know that a done task had been started twice.
 )
 """Seeds that once failed, each with its cause."""
 
@@ -166,19 +167,20 @@
             for entry in instance.registry.entries():
                 if entry.reported_phase is JobPhase.COMPLETED:
                     self.completed.setdefault(entry.job.id, now_s)
-        acknowledged_at_s = self.acknowledged_at_s()
+        done_at_s = self.acknowledged_ends()
         for server in self.env.servers.all():
             for started_s, task, _ in server.starts:
-                done_s = acknowledged_at_s.get(task)
+                done_s = done_at_s.get(task)
                 if done_s is not None and started_s > done_s:
                     raise AssertionError(f"{task} was started after it was done")
 
-    def acknowledged_at_s(self) -> dict[str, float]:
-        """Return when the end of each completed task was first acknowledged."""
+    def acknowledged_ends(self) -> dict[str, float]:
+        """Return when each completed task was done whose end was acknowledged, then or later."""
         found: dict[str, float] = {}
         for server in self.env.servers.all():
-            for task, when_s in server.acknowledged_at_s.items():
-                found[task] = min(when_s, found.get(task, when_s))
+            for when_s, task, _, how in server.finished:
+                if how is RunOutcome.DONE and task in server.acknowledged_at_s:
+                    found[task] = min(when_s, found.get(task, when_s))
         return found
 
     def check_capacity(self, server) -> None:
--- a/libs/jobs/src/catkinknot/jobs/_records.py
+++ b/libs/jobs/src/catkinknot/jobs/_records.py
@@ -42,12 +42,13 @@
 def write_step(state: StepState) -> bytes:
     """Return the value of a step's record.
 
-    A task in its initial state is written as 0, a task that is done as 1.
+    A task in its initial state is written as 0, a task that is done as the number
+    of its latest run: the report of an earlier run must be told from that of the latest.
     """
     rows: list[int | list[int | str]] = []
     for task in state.tasks:
         if task.phase is TaskPhase.DONE:
-            rows.append(1)
+            rows.append(max(task.run, 1))
         elif task == TaskState():
             rows.append(0)
         else:
@@ -85,8 +86,10 @@
     """Return the state of one task from its row in a step's record."""
     if row == 0:
         return TaskState()
-    if row == 1:
-        return TaskState(phase=TaskPhase.DONE)
+    if isinstance(row, int):
+        if row < 0:
+            raise ValueError(f"a task can't have the state {row}")
+        return TaskState(phase=TaskPhase.DONE, run=row)
     run, server, failures, checkpoint, failed_run = row
     phase = TaskPhase.ASSIGNED if server else TaskPhase.WAITING
     history = int(failures), str(checkpoint), int(failed_run)
--- a/standins/src/catkinknot_standins/_task_server.py
+++ b/standins/src/catkinknot_standins/_task_server.py
@@ -19,6 +19,9 @@
 
 MAX_LEASE_MS = 10_000
 
+MAX_LISTED_END_COUNT = 500
+"""Most ends in one answer."""
+
 
 @dataclass(slots=True)
 class ServerFaults:
@@ -90,9 +93,12 @@
         return {run.task: run.run for run in self._runs.values()}
 
     def tick(self) -> None:
-        """End the runs that are complete by now, and all runs if the lease has lapsed."""
+        """End the runs that are complete by now, and all runs if the lease has lapsed.
+
+        A lease lapses only where it ends a run; a server without runs keeps none.
+        """
         now_s = self.clock.now()
-        if self.now_ms() >= self._lease_until_ms:
+        if self._runs and self.now_ms() >= self._lease_until_ms:
             self._last_end_before_lapse = self._last_end
             for run in list(self._runs.values()):
                 self._end(run, RunOutcome.LAPSED)
@@ -143,7 +149,7 @@
             RunRow(run.task, run.run, "", self._percent(run)) for run in self._runs.values()
         )
         reply = OrderReply(OrderOutcome.DONE, self.now_ms(), self.listing.started_at_ms)
-        return HoldAnswer(reply, running, tuple(self._ends))
+        return HoldAnswer(reply, running, tuple(self._ends[:MAX_LISTED_END_COUNT]))
 
     def _percent(self, run: _Run) -> int:
         """Return the progress of a run in percent."""
