Read to the topic's end of the time of the call, not until a read finds nothing

Cause: a reader that catches up (a caller that asks for an unknown job, a candidate for the leadership) read until a read brought no record. The platform gives the topic's end with each read; it was not used. With hundreds of instances and a slow store every read brings records, so such a reader never ended before its caller's deadline, and each catch-up cost a read more. Change: `Batch.end`; `catch_up` reads to the first end it is told.

--- a/libs/coordination/src/catkinknot/coordination/_store.py
+++ b/libs/coordination/src/catkinknot/coordination/_store.py
@@ -47,10 +47,12 @@
     Attributes:
         records: The records, oldest first.
         next_offset: Offset at which the next read starts.
+        end: End of the topic when the store answered.
     """
 
     records: tuple[Record, ...]
     next_offset: int
+    end: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/libs/coordination/src/catkinknot/coordination/_tail.py
+++ b/libs/coordination/src/catkinknot/coordination/_tail.py
@@ -59,36 +59,34 @@
         self.last_response_s = clock.now()
 
     def catch_up(self) -> None:
-        """Read to the current end of the topic; raises a `StoreError`."""
-        while self.step():
-            pass
+        """Read to the end that the topic has at the time of the call; raises a `StoreError`.
 
-    def step(self) -> bool:
-        """Read once; raises a `StoreError`.
-
-        Returns:
-            Whether there may be more to read.
+        Records that are appended meanwhile are left to the next read, since a
+        busy topic would otherwise keep the caller for as long as it grows.
         """
+        end = self.step()
+        while self.next_offset < end:
+            self.step()
+
+    def step(self) -> int:
+        """Read once, and return the end of the topic; raises a `StoreError`."""
         with self._lock:
             start = self.next_offset
         if start is None:
-            self._restart()
-            return True
+            return self._restart()
         try:
             batch = self._store.read(self._topic, start)
         except HistoryGoneError:
             self._log.bind(offset=start).warning(
                 "The topic's history was deleted; reading a snapshot."
             )
-            self._restart()
-            return True
+            return self._restart()
         self.last_response_s = self._clock.now()
         with self._lock:
-            if self.next_offset != start:
-                return True
-            self._on_records(batch.records)
-            self.next_offset = batch.next_offset
-        return bool(batch.records)
+            if self.next_offset == start:
+                self._on_records(batch.records)
+                self.next_offset = batch.next_offset
+        return batch.end
 
     def follow(self, stopped: threading.Event) -> None:
         """Read in a loop until stopped."""
@@ -101,13 +99,14 @@
                 self._log_change(False, exc.message)
                 stopped.wait(RETRY_S)
 
-    def _restart(self) -> None:
-        """Read a snapshot of the topic."""
+    def _restart(self) -> int:
+        """Read a snapshot of the topic, and return the offset that it reaches."""
         snapshot = self._store.newest(self._topic)
         self.last_response_s = self._clock.now()
         with self._lock:
             self._on_snapshot(snapshot.records)
             self.next_offset = snapshot.next_offset
+        return snapshot.next_offset
 
     def _log_change(self, reachable: bool, reason: str) -> None:
         """Log when the store becomes unavailable or available again."""
--- a/libs/coordination/tests/test_tail.py
+++ b/libs/coordination/tests/test_tail.py
@@ -51,11 +51,11 @@
 
     def test_read_does_not_wait(self) -> None:
         """A read returns at once, with all available records or none."""
-        self.assertTrue(self.tail.step())
-        self.assertFalse(self.tail.step())
+        self.assertEqual(self.tail.step(), 0)
+        self.assertEqual(self.tail.step(), 0)
         self._append("a")
         self._append("b")
-        self.assertTrue(self.tail.step())
+        self.assertEqual(self.tail.step(), 2)
         self.assertEqual(self.seen, ["a", "b"])
 
     def test_pause_follows_the_role(self) -> None:
@@ -67,6 +67,26 @@
         self.tail.follow(stop_event)
         self.assertEqual(stop_event.durations_s, [0.03, 0.03])
 
+    def test_busy_topic_does_not_keep_a_reader(self) -> None:
+        """A reader reaches the end of a topic to which each read finds new records added.
+
+        With hundreds of instances and a slow store, every read brings records.
+        A reader that waits for an empty one keeps its caller until the deadline.
+        """
+        self.tail.catch_up()
+        read = self.view.read
+
+        def read_then_append(topic: str, start: int):
+            batch = read(topic, start)
+            if len(self.seen) < 50:
+                self._append("more")
+            return batch
+
+        self._append("a")
+        self.view.read = read_then_append
+        self.tail.catch_up()
+        self.assertEqual(self.seen, ["a"])
+
     def test_newest_after_a_gap(self) -> None:
         """A tail whose next records were deleted continues from a snapshot."""
         self._append("a")
--- a/standins/src/catkinknot_standins/_keyed_store.py
+++ b/standins/src/catkinknot_standins/_keyed_store.py
@@ -162,7 +162,7 @@
         if start < stored.first:
             raise HistoryGoneError("the requested records have been deleted")
         records = tuple(stored.records[start - stored.first :])
-        return Batch(records, start + len(records))
+        return Batch(records, start + len(records), stored.end)
 
     def newest(self, topic: str) -> Snapshot:
         """Return the newest record of every key."""
