Answer every call, and end, before the grace time of a stop is over

A stop closed four HTTP servers one after the other, and the server library then joins its handlers without a limit; a call taken just before the end of the drain, or queued behind twenty waiting ones, kept the process for seconds. Its worker threads also keep the interpreter. Ruled out: the leader's threads (daemons, not joined) and its order pool (one order is 0.6 s); the drain itself ends 2.5 s before the kill. Change: from the signal on, the deadline of every call is at most 1.5 s before the kill; a call without time left is answered 504 with when to come back (it may have run elsewhere, so never "has not run"), without a call to the store.

--- a/app/src/catkinknot/node/_node.py
+++ b/app/src/catkinknot/node/_node.py
@@ -1,9 +1,12 @@
 """One instance on the users' platform, assembled from its parts."""
 
+import os
 import signal
+import sys
 import threading
 from collections.abc import Callable
 from contextlib import ExitStack, contextmanager
+from math import inf, isfinite
 
 from loguru import logger
 
@@ -70,9 +73,20 @@
 CALLER_THREADS = 20
 RELAY_THREADS = 8
 IDLE_TIMEOUT_S = 15.0
-DRAIN_TIMEOUT_S = 1.5
 STOP_MARGIN_S = 2.5
-"""Time before the kill at which the HTTP servers shut down."""
+"""Time before the kill at which the HTTP servers accept no more calls."""
+
+ANSWER_MARGIN_S = 1.5
+"""Time before the kill at which the last call has its answer."""
+
+DRAIN_TIMEOUT_S = STOP_MARGIN_S - ANSWER_MARGIN_S + 0.2
+"""Time for calls in progress to be answered once no more are accepted."""
+
+MIN_DRAIN_S = 0.5
+"""Shortest time for which a stopping instance goes on serving."""
+
+INTERNAL_DRAIN_TIMEOUT_S = 0.1
+"""The same for the calls of other instances, of the load balancer and for metrics."""
 
 
 class CurrentConfig:
@@ -126,7 +140,7 @@
         """
         self.settings = settings
         self.clock = SystemClock()
-        self.stopping = threading.Event()
+        self.answer_by_s = inf
         self.metrics = NodeMetrics()
         self.config = CurrentConfig()
         self.peers = PeerList(
@@ -176,14 +190,26 @@
             clock=self.clock,
             config=self.config.get,
             observe=self.metrics.observe_call,
-            closing=self.stopping.is_set,
+            answer_by_s=lambda: self.answer_by_s,
         )
 
     def ready(self) -> bool:
         """Return whether callers should be sent to this instance."""
         ledger_age_s = self.clock.now() - self.jobs_tail.last_response_s
         initialized = self.config.current is not None and self.jobs_tail.next_offset is not None
-        return initialized and ledger_age_s < MAX_LEDGER_AGE_S and not self.stopping.is_set()
+        return initialized and ledger_age_s < MAX_LEDGER_AGE_S and not self.stopping
+
+    @property
+    def stopping(self) -> bool:
+        """Whether this instance has been told to stop."""
+        return isfinite(self.answer_by_s)
+
+    def drain(self) -> None:
+        """Hand over the leadership, and keep serving until the load balancer sends no more."""
+        grace_s = self.settings.grace_s
+        self.answer_by_s = self.clock.now() + max(0.0, grace_s - ANSWER_MARGIN_S)
+        self.election.resign()
+        self.clock.sleep(max(MIN_DRAIN_S, grace_s - STOP_MARGIN_S))
 
     def _make_leader(self, claim: Claim) -> Leader:
         """Create the leader for a claim."""
@@ -274,9 +300,22 @@
     with open_json_logs(settings.instance, observe=node.metrics.observe_line) as writer:
         node.metrics.add_refresher(lambda: _set_gauges(node, writer.dropped))
         _serve(node, path)
+    if _unfinished_threads():
+        # The interpreter would wait for them, past the end of the grace time.
+        sys.stdout.flush()
+        os._exit(0)
     return 0
 
 
+def _unfinished_threads() -> list[str]:
+    """Return the names of the threads that the interpreter would wait for before it exits."""
+    return [
+        thread.name
+        for thread in threading.enumerate()
+        if not thread.daemon and thread is not threading.main_thread()
+    ]
+
+
 def _set_gauges(node: Node, dropped: int) -> None:
     """Set the gauges to the present state of the instance."""
     leader = node.election.leading
@@ -305,7 +344,6 @@
     settings = node.settings
     watcher = SettingsWatcher(path, settings)
     metrics_endpoint = Endpoint(settings.ip, settings.metrics_port)
-    drain_wait_s = max(0.5, settings.grace_s - STOP_MARGIN_S)
     with ExitStack() as stack:
         stack.enter_context(
             _background_threads(
@@ -332,7 +370,13 @@
             (relay(settings.store.host, settings.store.port), settings.relay, RELAY_THREADS),
         ):
             stack.enter_context(
-                open_server(app, endpoint, threads=threads, idle_s=IDLE_TIMEOUT_S, drain_s=0.2)
+                open_server(
+                    app,
+                    endpoint,
+                    threads=threads,
+                    idle_s=IDLE_TIMEOUT_S,
+                    drain_s=INTERNAL_DRAIN_TIMEOUT_S,
+                )
             )
         log.bind(zone=settings.zone, callers=str(settings.callers)).info("The instance is up.")
         while not stop_requested.wait(SETTINGS_POLL_S):
@@ -341,7 +385,5 @@
                 reload_requested.clear()
             watcher.poll(requested=requested)
         log.info("The instance is told to stop.")
-        node.stopping.set()
-        node.election.resign()
-        node.clock.sleep(drain_wait_s)
-    log.info("The instance has stopped.")
+        node.drain()
+    log.bind(unfinished=_unfinished_threads()).info("The instance has stopped.")
--- a/libs/coordination/src/catkinknot/coordination/_job_service.py
+++ b/libs/coordination/src/catkinknot/coordination/_job_service.py
@@ -53,6 +53,7 @@
 """Longest time that a caller has already waited if the call is its first attempt."""
 
 STORE_UNAVAILABLE = "the store is unavailable"
+NO_TIME_LEFT = "the deadline has passed, or this instance stops"
 
 MAX_STATE_AGE_S = 0.05
 """Longest time since the last read of the ledger for a job to be shown without another."""
@@ -148,7 +149,9 @@
             self._say(job.id, "A repeated submit names a known job.", Verdict.ACCEPTED)
             return Answer(Verdict.ACCEPTED)
         left_ms = int((deadline_s - self._clock.now()) * 1000)
-        if self._store_unavailable() and timeout_ms and timeout_ms - left_ms <= FIRST_ATTEMPT_MS:
+        if left_ms <= 0:
+            verdict, reason = Verdict.UNSURE, NO_TIME_LEFT
+        elif self._store_unavailable() and timeout_ms and timeout_ms - left_ms <= FIRST_ATTEMPT_MS:
             # On a first attempt no append of this job can be in flight.
             verdict, reason = Verdict.REFUSED, STORE_UNAVAILABLE
         elif self._store_unavailable() and not self._await_store(deadline_s):
@@ -181,15 +184,20 @@
             self._clock.sleep(RETRY_S)
         return not self._store_unavailable()
 
-    def get_status(self, job_id: str) -> Answer:
-        """Return the phase of a job."""
+    def get_status(self, job_id: str, deadline_s: float) -> Answer:
+        """Return the phase of a job.
+
+        Args:
+            job_id: Identity of the job.
+            deadline_s: When the caller stops waiting.
+        """
         entry = self._registry.get(job_id)
         if entry is None:
-            known = self._refresh(job_id)
+            known = self._refresh(job_id, deadline_s)
             if known is not Verdict.SHOWN:
                 return Answer(known, retry_after_s=RETRY_AFTER_S)
             entry = self._registry.get(job_id)
-        elif not entry.reported_phase.final:
+        elif not entry.reported_phase.final and self._clock.now() < deadline_s:
             self._read_updates(job_id)
             entry = self._registry.get(job_id) or entry
         return Answer(Verdict.SHOWN, phase=entry.reported_phase)
@@ -202,12 +210,15 @@
             deadline_s: When the caller stops waiting.
         """
         if self._registry.get(job_id) is None:
-            known = self._refresh(job_id)
+            known = self._refresh(job_id, deadline_s)
             if known is not Verdict.SHOWN:
                 return Answer(known, retry_after_s=RETRY_AFTER_S)
         entry = self._registry.get(job_id)
         if entry.cancelled or entry.phase.final:
             return Answer(Verdict.CANCELLED)
+        if self._clock.now() >= deadline_s:
+            self._say(job_id, "A cancel was answered.", Verdict.UNSURE, reason=NO_TIME_LEFT)
+            return Answer(Verdict.UNSURE, retry_after_s=RETRY_AFTER_S)
         verdict, reason = self._append(Record(job_id + CANCEL_SUFFIX, b"1"), deadline_s)
         self._say(job_id, "A cancel was answered.", verdict, reason=reason)
         if verdict is Verdict.ACCEPTED:
@@ -279,8 +290,11 @@
                 job_id, "An older state of a job is shown.", Verdict.SHOWN, reason=exc.message
             )
 
-    def _refresh(self, job_id: str) -> Verdict:
+    def _refresh(self, job_id: str, deadline_s: float) -> Verdict:
         """Read the ledger to its end before a job is reported as unknown."""
+        if self._clock.now() >= deadline_s:
+            self._say(job_id, "The ledger was not read.", Verdict.UNSURE, reason=NO_TIME_LEFT)
+            return Verdict.UNSURE
         try:
             self._tail.catch_up()
         except StoreError as exc:
--- a/libs/coordination/tests/test_job_service.py
+++ b/libs/coordination/tests/test_job_service.py
@@ -10,6 +10,7 @@
 from catkinknot_standins import StoreView
 
 ID = "a" * 16
+DEADLINE_S = 1e9
 
 
 class SlowStore(StoreView):
@@ -66,14 +67,14 @@
     def test_job_of_another_instance(self) -> None:
         """A job accepted a moment ago elsewhere is known here."""
         self.leader.job_service.submit(job(ID), self.call_deadline_s)
-        self.assertEqual(self.job_service.get_status(ID).phase, JobPhase.QUEUED)
+        self.assertEqual(self.job_service.get_status(ID, DEADLINE_S).phase, JobPhase.QUEUED)
 
     def test_job_of_another_instance_that_has_just_ended(self) -> None:
         """A query reads the ledger first, so it shows the newest state."""
         self.leader.job_service.submit(job(ID), self.call_deadline_s)
         run_for(self.env, [self.leader, self.here], 1.5)
         run_for(self.env, [self.leader], 1.0)
-        self.assertEqual(self.job_service.get_status(ID).phase, JobPhase.COMPLETED)
+        self.assertEqual(self.job_service.get_status(ID, DEADLINE_S).phase, JobPhase.COMPLETED)
 
     def test_older_state_while_the_store_refuses(self) -> None:
         """The state that was read last is shown while the store can't be read."""
@@ -81,11 +82,11 @@
         self.here.tail.catch_up()
         run_for(self.env, [self.leader], 0.3)
         self.here.store.faults.refuse = True
-        self.assertEqual(self.job_service.get_status(ID).phase, JobPhase.QUEUED)
+        self.assertEqual(self.job_service.get_status(ID, DEADLINE_S).phase, JobPhase.QUEUED)
 
     def test_unknown_job(self) -> None:
         """A job that was never submitted is unknown to a query and a cancel."""
-        self.assertEqual(self.job_service.get_status(ID).verdict, Verdict.UNKNOWN_JOB)
+        self.assertEqual(self.job_service.get_status(ID, DEADLINE_S).verdict, Verdict.UNKNOWN_JOB)
         self.assertEqual(
             self.job_service.cancel(ID, self.call_deadline_s).verdict, Verdict.UNKNOWN_JOB
         )
@@ -93,7 +94,24 @@
     def test_unknown_job_while_the_store_is_unavailable(self) -> None:
         """A job is not reported as unknown while the ledger can't be read."""
         self.here.store.faults.refuse = True
-        self.assertEqual(self.job_service.get_status(ID).verdict, Verdict.UNSURE)
+        self.assertEqual(self.job_service.get_status(ID, DEADLINE_S).verdict, Verdict.UNSURE)
+
+    def test_no_time_left(self) -> None:
+        """Calls whose deadline has passed are answered without a call to the store.
+
+        An instance that stops brings all deadlines forward. Each wait for a
+        slow store would keep the process beyond its grace time.
+        """
+        past_s = self.env.clock.now()
+        self.here.store.append = self.here.store.read = self.fail
+        answers = (
+            self.job_service.submit(job(ID), past_s, timeout_ms=3000),
+            self.job_service.get_status(ID, past_s),
+            self.job_service.cancel(ID, past_s),
+        )
+        for answer in answers:
+            self.assertEqual(answer.verdict, Verdict.UNSURE)
+            self.assertGreater(answer.retry_after_s, 0)
 
     def test_refused_submit_never_runs(self) -> None:
         """A refused submit has not reached the store, so its job never runs."""
@@ -102,7 +120,7 @@
         self.assertEqual(answer.verdict, Verdict.REFUSED)
         self.here.store.faults.refuse = False
         run_for(self.env, [self.leader, self.here], 3.0)
-        self.assertEqual(self.job_service.get_status(ID).verdict, Verdict.UNKNOWN_JOB)
+        self.assertEqual(self.job_service.get_status(ID, DEADLINE_S).verdict, Verdict.UNKNOWN_JOB)
 
     def test_refusal_comes_at_once(self) -> None:
         """While the store refuses calls, a caller is answered well before its deadline."""
@@ -201,7 +219,7 @@
         self.job_service.submit(job(ID), self.call_deadline_s)
         run_for(self.env, [self.leader, self.here], 3.0)
         self.job_service.cancel(ID, self.env.clock.now() + 1.0)
-        self.assertEqual(self.job_service.get_status(ID).phase, JobPhase.COMPLETED)
+        self.assertEqual(self.job_service.get_status(ID, DEADLINE_S).phase, JobPhase.COMPLETED)
 
 
 if __name__ == "__main__":
--- a/standins/src/catkinknot_standins/soak/_instances.py
+++ b/standins/src/catkinknot_standins/soak/_instances.py
@@ -92,6 +92,13 @@
         timer.daemon = True
         timer.start()
 
+    def wait(self, timeout_s: float) -> int | None:
+        """Return the exit status of the process, None if it still runs after a time."""
+        try:
+            return self._process.wait(timeout_s)
+        except subprocess.TimeoutExpired:
+            return None
+
     def end(self) -> None:
         """Kill the process and prevent further starts."""
         if self._process is not None:
@@ -108,7 +115,9 @@
 
 
 @contextmanager
-def open_instance(name: str, folder: Path, store: Proxy, seed: str):
+def open_instance(
+    name: str, folder: Path, store: Proxy, seed: str, *, grace_s: float = SHUTDOWN_GRACE_S
+):
     """Prepare an instance without starting it, and end it when the context closes.
 
     Args:
@@ -116,6 +125,7 @@
         folder: Directory of its settings and log.
         store: Proxy between the instance and the store.
         seed: Address on which another instance serves its peers, empty for none.
+        grace_s: Time between the request to stop and the kill, in seconds.
     """
     front, ready, control, metrics = free_ports(4)
     settings = folder / f"{name}.conf"
@@ -129,7 +139,7 @@
         "internal-ports": f"{metrics},{metrics}",
         "seeds": seed,
         "platform.address": store.address,
-        "bounds.grace-s": SHUTDOWN_GRACE_S,
+        "bounds.grace-s": grace_s,
         "heartbeat-ms": 500,
     }
     settings.write_text("".join(f"{key}={value}\n" for key, value in lines.items()))
