Let instances claim a vacant leadership in turn, the stronger ones first

The leader waited 0.2 s for its resignation, less than a slow store takes for it, so its successor had to wait for the timeout of a lost leader. Of 97 machines 79 have a quarter of the processor time of the others, and the election did not look at it. Ruled out: a named successor (it may be gone as well); random delays (as many claims, only later); preferring instances that started recently, as their records are up to 8 s old for the others. Change: the order of succession is the same for all: processor time, then a hash of the name. Rank n waits 0.1 s for each rank before it, 1 s and a jitter at most. The order is fixed, so in a rolling restart the first leads again as soon as it has been restarted. The first three read the ledger each 0.1 s. A resignation is written before anything else, and waited for up to 1.5 s.

--- a/app/src/catkinknot/node/_node.py
+++ b/app/src/catkinknot/node/_node.py
@@ -52,6 +52,12 @@
 LEADER_READ_PAUSE_S = 0.03
 """Pause between the leader's reads of the ledger; short since it acts on each record."""
 
+STANDBY_COUNT = 3
+"""Instances that are the first to claim a vacant leadership."""
+
+STANDBY_READ_PAUSE_S = 0.1
+"""Pause of these instances, which have to notice a resignation soon."""
+
 FOLLOWER_READ_PAUSE_S = 0.4
 """Pause of other instances, which also read at once when a call needs it."""
 
@@ -73,10 +79,10 @@
 CALLER_THREADS = 20
 RELAY_THREADS = 8
 IDLE_TIMEOUT_S = 15.0
-STOP_MARGIN_S = 2.5
+STOP_MARGIN_S = 3.0
 """Time before the kill at which the HTTP servers accept no more calls."""
 
-ANSWER_MARGIN_S = 1.5
+ANSWER_MARGIN_S = 2.0
 """Time before the kill at which the last call has its answer."""
 
 DRAIN_TIMEOUT_S = STOP_MARGIN_S - ANSWER_MARGIN_S + 0.2
@@ -144,7 +150,11 @@
         self.metrics = NodeMetrics()
         self.config = CurrentConfig()
         self.peers = PeerList(
-            settings.instance, str(settings.relay), seeds=settings.seeds, make_route=_route_through
+            settings.instance,
+            str(settings.relay),
+            cores=settings.cores,
+            seeds=settings.seeds,
+            make_route=_route_through,
         )
         self.store = StoreRouter(
             PlatformStore(settings.store.host, settings.store.port),
@@ -161,7 +171,7 @@
             clock=self.clock,
             on_snapshot=self._apply_snapshot,
             on_records=self._apply_records,
-            pause_s=lambda: LEADER_READ_PAUSE_S if self.election.leading else FOLLOWER_READ_PAUSE_S,
+            pause_s=self._ledger_read_pause_s,
         )
         self.config_tail = Tail(
             self.store,
@@ -177,6 +187,7 @@
             tail=self.jobs_tail,
             clock=self.clock,
             make_leader=self._make_leader,
+            rank=lambda: self.peers.rank,
         )
         self.job_service = JobService(
             store=self.store,
@@ -193,6 +204,15 @@
             answer_by_s=lambda: self.answer_by_s,
         )
 
+    def _ledger_read_pause_s(self) -> float:
+        """Return the pause between two reads of the ledger, by the role of this instance."""
+        if self.election.leading:
+            return LEADER_READ_PAUSE_S
+        rank = self.peers.rank
+        if rank is not None and rank < STANDBY_COUNT:
+            return STANDBY_READ_PAUSE_S
+        return FOLLOWER_READ_PAUSE_S
+
     def ready(self) -> bool:
         """Return whether callers should be sent to this instance."""
         ledger_age_s = self.clock.now() - self.jobs_tail.last_response_s
--- a/libs/coordination/src/catkinknot/coordination/__init__.py
+++ b/libs/coordination/src/catkinknot/coordination/__init__.py
@@ -1,9 +1,11 @@
 """Leader election, scheduling and job service over one shared store."""
 
+from ._cluster_state import ClusterState
 from ._election import Election
 from ._job_service import Answer, JobService, Verdict
 from ._leader import Claim, Leader
 from ._peers import PeerList
+from ._planner import Planner
 from ._recorder import LEAD_KEY
 from ._routes import StoreRouter
 from ._servers import (
@@ -20,6 +22,7 @@
 )
 from ._store import JOBS, PEERS, RUNS, Batch, Fence, Record, Snapshot, Store
 from ._tail import Tail
+from ._views import RunView, ServerView
 
 __all__ = [
     "JOBS",
@@ -29,6 +32,7 @@
     "Answer",
     "Batch",
     "Claim",
+    "ClusterState",
     "Election",
     "EndRow",
     "Fence",
@@ -39,10 +43,13 @@
     "OrderOutcome",
     "OrderReply",
     "PeerList",
+    "Planner",
     "Record",
     "RunRow",
+    "RunView",
     "ServerCalls",
     "ServerListing",
+    "ServerView",
     "Snapshot",
     "StartOrder",
     "StopOrder",
--- a/libs/coordination/src/catkinknot/coordination/_election.py
+++ b/libs/coordination/src/catkinknot/coordination/_election.py
@@ -24,14 +24,20 @@
 STARTUP_ELECTION_TIMEOUT_S = 0.7
 """The same for an instance that has just started; longer than a leader's write interval."""
 
-RESIGN_FLUSH_S = 0.2
-"""Time for the record of a resigning leader to be written."""
+RESIGN_TIMEOUT_S = 1.5
+"""Longest wait for the record of a resignation to be written."""
 
 MAX_STORE_SILENCE_S = 0.8
 """Longest time since the last answer of the store for a candidate to claim."""
 
+SUCCESSION_STEP_S = 0.1
+"""Time by which each rank claims after the one before, enough to read an earlier claim."""
+
+MAX_SUCCESSION_DELAY_S = 1.0
+"""Delay of the claims of all later ranks, to which a jitter is added."""
+
 ELECTION_JITTER_S = 0.4
-"""Upper bound of the extra timeout, which differs between instances."""
+"""Upper bound of that jitter, which differs between instances."""
 
 POLL_INTERVAL_S = 0.1
 """Time between two checks of the leader record."""
@@ -56,6 +62,7 @@
         tail: Tail,
         clock: Clock,
         make_leader: Callable[[Claim], Leader],
+        rank: Callable[[], int | None],
     ) -> None:
         """Create a follower.
 
@@ -65,16 +72,16 @@
             tail: Tail of the topic that holds jobs and the leader record.
             clock: Source of time.
             make_leader: Creates the leader for a claim.
+            rank: Returns the position of this instance in the order of succession,
+                None if it is unknown.
         """
         self._instance = instance
         self._store = store
         self._tail = tail
         self._clock = clock
         self._make_leader = make_leader
-        self._election_timeout_s = (
-            ELECTION_TIMEOUT_S + ELECTION_JITTER_S * (zlib.crc32(instance.encode()) % 16) / 16
-        )
-        self._leader_record_at_s = clock.now() - ELECTION_TIMEOUT_S + STARTUP_ELECTION_TIMEOUT_S
+        self._rank = rank
+        self._vacant_at_s = clock.now() + STARTUP_ELECTION_TIMEOUT_S
         self._nonce = ""
         self._resigned = threading.Event()
         self._log = logger.bind(part="election")
@@ -103,9 +110,9 @@
             self.epoch = epoch
             self._nonce = nonce
             if leader_record.get("resigned"):
-                self._leader_record_at_s = float("-inf")
+                self._vacant_at_s = min(self._vacant_at_s, self._clock.now())
             elif fresh:
-                self._leader_record_at_s = self._clock.now()
+                self._vacant_at_s = self._clock.now() + ELECTION_TIMEOUT_S
 
     def resign(self) -> None:
         """Stop leading for good, because the instance is about to shut down."""
@@ -135,7 +142,19 @@
             or now_s - self._tail.last_response_s > MAX_STORE_SILENCE_S
         ):
             return False
-        return now_s - self._leader_record_at_s > self._election_timeout_s
+        return now_s > self._vacant_at_s + self._succession_delay_s()
+
+    def _succession_delay_s(self) -> float:
+        """Return how long this instance leaves a vacant leadership to others.
+
+        If all claimed at once, their appends would keep a slow store, and
+        with it the first of them, busy for seconds.
+        """
+        rank = self._rank()
+        if rank is not None and rank * SUCCESSION_STEP_S < MAX_SUCCESSION_DELAY_S:
+            return rank * SUCCESSION_STEP_S
+        jitter = zlib.crc32(self._instance.encode()) % 16 / 16
+        return MAX_SUCCESSION_DELAY_S + ELECTION_JITTER_S * jitter
 
     def _claim(self) -> Claim | None:
         """Claim the next epoch; return None if another instance was faster."""
@@ -179,11 +198,11 @@
                 leader.apply_all()
                 while not stopped.wait(POLL_INTERVAL_S) and not leader.deposed:
                     if self._resigned.is_set():
-                        # The record of the resignation takes a moment to be written.
-                        stopped.wait(RESIGN_FLUSH_S)
+                        leader.resign()
+                        leader.recorder.resigned.wait(RESIGN_TIMEOUT_S)
                         break
         except StoreError as exc:
             self._log.bind(reason=exc.message).warning("Taking over the leadership failed.")
         finally:
             self.leading = None
-            self._leader_record_at_s = self._clock.now()
+            self._vacant_at_s = self._clock.now() + ELECTION_TIMEOUT_S
--- a/libs/coordination/src/catkinknot/coordination/_leader.py
+++ b/libs/coordination/src/catkinknot/coordination/_leader.py
@@ -21,9 +21,9 @@
 from ._cluster_state import ClusterState
 from ._orders import OrderSender
 from ._planner import Planner
-from ._recorder import Recorder, make_leader_record
+from ._recorder import Recorder
 from ._servers import ServerCalls, ServerListing
-from ._store import JOBS, RUNS, Store
+from ._store import RUNS, Store
 from ._views import RunView, ServerView
 from ._watch import Watcher, needs_watch
 from .exceptions import StoreError
@@ -177,11 +177,8 @@
         self.cluster.changed.set()
 
     def resign(self) -> None:
-        """Queue a leader record that lets another instance take over at once."""
-        leader_record = make_leader_record(
-            self._claim.epoch, self._instance, self._claim.nonce, resigned=True
-        )
-        self.recorder.put(JOBS, leader_record.key, leader_record.value)
+        """Let another instance take over as soon as the store has the record of it."""
+        self.recorder.resign()
 
     def close(self) -> None:
         """End this leadership and wait for its threads."""
--- a/libs/coordination/src/catkinknot/coordination/_recorder.py
+++ b/libs/coordination/src/catkinknot/coordination/_recorder.py
@@ -56,6 +56,7 @@
     Attributes:
         confirmed_s: When the last accepted append was sent.
         fenced: Whether another leader has taken over.
+        resigned: Set when the store has the record of the resignation.
     """
 
     def __init__(
@@ -83,6 +84,7 @@
         self._store = store
         self._epoch = epoch
         self._leader_record = make_leader_record(epoch, instance, nonce)
+        self._resignation = make_leader_record(epoch, instance, nonce, resigned=True)
         self._numbers = dict(first_numbers)
         self._clock = clock
         self._cond = threading.Condition()
@@ -94,6 +96,14 @@
         self._log = logger.bind(part="recorder", epoch=epoch)
         self.confirmed_s = confirmed_s
         self.fenced = False
+        self.resigned = threading.Event()
+
+    def resign(self) -> None:
+        """Write the record that lets another instance take over, before anything else waits."""
+        with self._cond:
+            self._leader_record = self._resignation
+            self._leader_record_at_s = float("-inf")
+            self._cond.notify()
 
     def put(self, topic: str, key: str, value: bytes) -> None:
         """Queue a record for the next batch."""
@@ -142,6 +152,14 @@
                 for action in callbacks:
                     action()
 
+    def _note_leader_record(self, records: list[Record], sent_s: float) -> None:
+        """Note when the current leader record was written."""
+        with self._cond:
+            if self._leader_record in records:
+                self._leader_record_at_s = sent_s
+            if self._resignation in records:
+                self.resigned.set()
+
     def _phases_deferred(self) -> bool:
         """Return whether phases wait because the store is slow and has just received a batch."""
         return (
@@ -185,7 +203,6 @@
             if topic == JOBS:
                 self._phases_written_s = self._clock.now()
                 self._append_duration_s = self._phases_written_s - sent_s
-            if any(record.key == LEAD_KEY for record in records):
-                self._leader_record_at_s = sent_s
+            self._note_leader_record(records, sent_s)
             return True
         return False
--- a/libs/coordination/tests/stepping.py
+++ b/libs/coordination/tests/stepping.py
@@ -120,6 +120,7 @@
             tail=self.tail,
             clock=env.clock,
             make_leader=self._make_leader,
+            rank=lambda: self.rank,
         )
         self.job_service = JobService(
             store=self.store,
@@ -128,6 +129,7 @@
             config=lambda: env.config,
             clock=env.clock,
         )
+        self.rank: int | None = 0
         self.leader: Leader | None = None
         self.not_stopped = NonBlockingEvent(threading.Event())
         self.tail.catch_up()
@@ -144,7 +146,7 @@
     def try_to_lead(self) -> bool:
         """Claim the leadership, and take over if the claim is accepted."""
         self.tail.catch_up()
-        self.election._leader_record_at_s = float("-inf")
+        self.election._vacant_at_s = float("-inf")
         claim = self.election._claim()
         if claim is None:
             return False
--- a/libs/coordination/tests/test_leader.py
+++ b/libs/coordination/tests/test_leader.py
@@ -419,7 +419,7 @@
         waiting until its next change.
         """
         self.second.tail.catch_up()
-        self.second.election._leader_record_at_s = float("-inf")
+        self.second.election._vacant_at_s = float("-inf")
         claim = self.second.election._claim()
         leader = self.second.prepare(claim)
         original_begin = leader.begin
@@ -454,12 +454,47 @@
         self.first.step()
         self.first.leader.depose()
         self.second.tail.catch_up()
+        self.env.clock.advance(0.05)
         self.assertTrue(self.second.election._leadership_vacant())
         self.second.lead()
         self.submit(job("a" * 16))
         run_for(self.env, [self.second], 4.0)
         self.assertEqual(self.second.phase("a" * 16), JobPhase.COMPLETED)
 
+    def test_successors_claim_in_turn(self) -> None:
+        """After a resignation only the first in rank claims at once; the others leave it time.
+
+        Hundreds of instances that claim together keep a slow store busy for
+        seconds, while nobody leads.
+        """
+        followers = [self.second, *(Instance(self.env, f"f{n}") for n in range(30))]
+        for rank, follower in enumerate(followers):
+            follower.rank = rank if rank < 25 else None
+        self.run_for(2.0)
+        self.first.leader.resign()
+        self.first._flush()
+        self.assertTrue(self.first.leader.recorder.resigned.is_set())
+        for follower in followers:
+            follower.tail.catch_up()
+        self.env.clock.advance(0.05)
+        vacant = [f.rank for f in followers if f.election._leadership_vacant()]
+        self.assertEqual(vacant, [0])
+        for _ in range(15):
+            self.env.clock.advance(0.1)
+            for follower in followers:
+                follower.tail.catch_up()
+        self.assertTrue(all(f.election._leadership_vacant() for f in followers))
+
+    def test_resignation_is_not_deferred(self) -> None:
+        """A resignation is written at once also while phases wait for a slow store."""
+        recorder = self.first.leader.recorder
+        self.run_for(1.0)
+        recorder._append_duration_s = 10.0
+        recorder._phases_written_s = self.env.clock.now()
+        self.first.leader.resign()
+        self.first._flush()
+        self.assertTrue(recorder.resigned.is_set())
+
     def test_active_leader_is_not_replaced(self) -> None:
         """A new instance that reads fresh leader records does not claim."""
         fresh = Instance(self.env, "fresh")
--- a/libs/coordination/tests/test_routes.py
+++ b/libs/coordination/tests/test_routes.py
@@ -1,5 +1,6 @@
 """Tests of the store routes and the list of instances."""
 
+import json
 import unittest
 
 from catkinknot.coordination import PeerList, Record, StoreRouter
@@ -57,11 +58,29 @@
 
     def test_records_replace_seeds(self) -> None:
         """Seeds are used until the list is read; invalid records are skipped."""
-        peers = PeerList("a", "a:1", seeds=("a:1", "b:1"), make_route=lambda address: address)
+        peers = PeerList(
+            "a", "a:1", cores=1.0, seeds=("a:1", "b:1"), make_route=lambda address: address
+        )
         self.assertEqual(set(peers.routes()), {"b:1"})
         peers.apply({"a": b'{"address":"a:1"}', "c": b'{"address":"c:1"}', "d": b"?"})
         self.assertEqual(set(peers.routes()), {"c:1"})
 
+    def test_rank(self) -> None:
+        """Instances with more processor time rank first, and all agree on the order."""
+        cores = {"a": 0.5, "b": 2.0, "c": 0.5, "d": 2.0}
+        records = {
+            name: json.dumps({"address": f"{name}:1", "cores": count}).encode()
+            for name, count in cores.items()
+        }
+        ranks = {}
+        for name, count in cores.items():
+            peers = PeerList(name, f"{name}:1", cores=count, seeds=(), make_route=str)
+            self.assertIsNone(peers.rank)
+            peers.apply(records)
+            ranks[name] = peers.rank
+        self.assertEqual({ranks["b"], ranks["d"]}, {0, 1})
+        self.assertEqual(sorted(ranks.values()), [0, 1, 2, 3])
+
 
 if __name__ == "__main__":
     unittest.main()
