--- a/libs/packing/src/catkinknot/packing/_headroom.py
+++ b/libs/packing/src/catkinknot/packing/_headroom.py
@@ -12,9 +12,6 @@
 DEMAND_WINDOW_S = 20.0
 """Length of the sliding window over which the peak of urgent demand is taken."""
 
-DEMAND_FACTOR = 1.25
-"""Accelerators reserved for urgent work, as a multiple of the peak demand."""
-
 MIN_HEADROOM_SHARE = 0.15
 """Least share of all accelerators that is reserved for urgent work."""
 
@@ -66,9 +63,7 @@
     for capacity in capacities:
         total += capacity.capacity.accelerators
         racks[capacity.rack].append((_accelerators_for_urgent(capacity), capacity))
-    remaining = min(
-        MAX_HEADROOM_SHARE * total, max(MIN_HEADROOM_SHARE * total, DEMAND_FACTOR * peak)
-    )
+    remaining = min(MAX_HEADROOM_SHARE * total, max(MIN_HEADROOM_SHARE * total, peak))
     selected = set()
     for members in sorted(racks.values(), key=_rack_order):
         for urgent, capacity in sorted(members, key=lambda member: (-member[0], member[1].server)):
--- a/libs/packing/tests/test_headroom.py
+++ b/libs/packing/tests/test_headroom.py
@@ -52,6 +52,13 @@
         """However high the demand, no more than the largest share is reserved."""
         self.assertEqual(len(select_headroom(fleet(4, 6), 10_000)), 9)
 
+    def test_no_more_than_the_peak(self) -> None:
+        """After a peak of urgent gangs, gangs that wait get every server beyond that peak.
+
+        Servers kept beyond the peak stand empty while less urgent gangs wait.
+        """
+        self.assertEqual(len(select_headroom(fleet(4, 6), 64)), 8)
+
     def test_running_urgent_work_counts_as_reserved(self) -> None:
         """Servers that urgent work uses count towards the reserved share."""
         capacities = fleet(2, 5)
--- /dev/null
+++ b/tests/test_lab.py
@@ -0,0 +1,108 @@
+"""Test the model of whole days on a small fleet."""
+
+import json
+import tempfile
+import unittest
+from pathlib import Path
+
+from catkinknot.model import ResultCode
+from catkinknot.model.exceptions import BadInputError
+from catkinknot_standins.lab import compare, draw_arrivals, load_experiment, play_day, summarize
+
+ROOT = Path(__file__).resolve().parent.parent
+KIND = {
+    "priority": 0, "per_s": 2.0, "worth": 4.0, "late_worth": 1.0, "tasks": 2, "max_tasks": 4,
+    "run_s": 1.0, "max_run_s": 2.0, "cpu_milli": 1000, "memory_mb": 1000, "stretch": 3.0,
+    "accelerators": [1, 2], "gang": 0.5, "checkpoints": 0.5, "fails": 0.1,
+}  # fmt: skip
+SMALL = {
+    "name": "small", "length_s": 6, "settle_s": 12, "workspaces": 2, "seeds": 2,
+    "fleet": {"servers": 4, "per_rack": 2},
+    "kinds": [KIND | {"name": "urgent"}, KIND | {"name": "other", "priority": 1, "tasks": 3}],
+    "bursts": [{"at_s": 1, "for_s": 2, "factor": 3, "kind": "other"}],
+}  # fmt: skip
+
+
+class TestLab(unittest.TestCase):
+    """Experiments, modelled days and comparisons."""
+
+    def _load(self, body: dict):
+        """Load an experiment from a file with a body."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "experiment.json"
+            path.write_text(json.dumps(body))
+            return load_experiment(path)
+
+    def test_examples_can_be_read(self) -> None:
+        """Every experiment file of the examples is valid."""
+        files = sorted((ROOT / "examples" / "lab").glob("*.json"))
+        self.assertTrue(files)
+        for path in files:
+            with self.subTest(file=path.name):
+                load_experiment(path)
+
+    def test_invalid_experiments(self) -> None:
+        """An invalid file gives an error with a code that names the field."""
+        cases = {
+            "servers": SMALL | {"fleet": {"servers": 0}},
+            "length_s": {key: value for key, value in SMALL.items() if key != "length_s"},
+            "colour": SMALL | {"colour": "red"},
+            "unknown kinds": SMALL | {"bursts": [SMALL["bursts"][0] | {"kind": "none"}]},
+            "same name": SMALL | {"kinds": [SMALL["kinds"][0]] * 2},
+        }
+        for text, body in cases.items():
+            with self.subTest(fault=text):
+                with self.assertRaises(BadInputError) as caught:
+                    self._load(body)
+                self.assertEqual(caught.exception.code, ResultCode.BAD_SETTINGS)
+                self.assertIn(text, caught.exception.message)
+        with self.assertRaises(BadInputError):
+            load_experiment(ROOT / "no-such-file.json")
+
+    def test_seed_decides(self) -> None:
+        """Equal seeds draw equal jobs; other seeds draw others."""
+        experiment = self._load(SMALL)
+        self.assertEqual(draw_arrivals(experiment, 1), draw_arrivals(experiment, 1))
+        self.assertNotEqual(draw_arrivals(experiment, 1), draw_arrivals(experiment, 2))
+
+    def test_burst(self) -> None:
+        """A burst multiplies the jobs of its kind only, for as long as it lasts."""
+        experiment = self._load(SMALL)
+        counts = {("other", True): 0, ("other", False): 0, ("urgent", True): 0}
+        for seed in range(60):
+            for arrival in draw_arrivals(experiment, seed):
+                at_s = arrival.at_s - 1000.0
+                key = arrival.kind.name, 1 <= at_s < 3
+                counts[key] = counts.get(key, 0) + 1
+        self.assertGreater(counts["other", True], counts["other", False])
+        self.assertGreater(counts["other", True], 2 * counts["urgent", True])
+
+    def test_day(self) -> None:
+        """On a day with room for all, nearly all jobs end within their objective."""
+        experiment = self._load(SMALL | {"fleet": {"servers": 40}, "bursts": []})
+        result = play_day(experiment, 1)
+        self.assertGreater(result.share, 0.8)
+        self.assertGreaterEqual(result.started, sum(kind.jobs for kind in result.kinds.values()))
+        for kind in result.kinds.values():
+            self.assertLess(kind.p50_start_s, 0.5)
+
+    def test_crowded_day(self) -> None:
+        """On a day without room for all, less urgent work waits for the urgent one."""
+        experiment = self._load(SMALL | {"fleet": {"servers": 1}})
+        result = play_day(experiment, 1)
+        self.assertLess(result.share, 0.9)
+        self.assertLess(result.kinds["urgent"].p50_start_s, result.kinds["other"].p50_start_s)
+
+    def test_compare(self) -> None:
+        """Results are compared seed by seed; equal results do not differ."""
+        experiment = self._load(SMALL)
+        results = [play_day(experiment, seed).to_json() for seed in (1, 2)]
+        for _, _, difference, half in compare(results, results):
+            self.assertEqual((difference, half), (0.0, 0.0))
+        names = [name for name, _, _ in summarize(results)]
+        self.assertEqual(names, [row[0] for row in compare(results, results)])
+        self.assertEqual(compare(results[:1], results[1:]), [])
+
+
+if __name__ == "__main__":
+    unittest.main()
