Take the first configuration's version from its answer in the processes' test

It edited version 1, but versions follow the log's offsets, and instances claim their zone some seconds after their start, with or without a configuration. When the three instances took longer than that to come up, the claim had offset 0 and the first configuration was version 2. Ruled out: an append without an answer, which has another code. Change: the test uses the version that the first publication answered, and checks both answers, which is stricter than before.

--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -34,7 +34,9 @@
         self.nodes = [self.deployment.start_node(f"i{n}", ZONE) for n in range(3)]
         for node in self.nodes:
             self.deployment.wait_port(node.http)
-        self.deployment.post(self.nodes[0].http, "/v1/config?base_version=0", CONFIG)
+        answer = self.deployment.post(self.nodes[0].http, "/v1/config?base_version=0", CONFIG)
+        self.assertIn("version", answer, answer)
+        self.version = answer["version"]
         self.deployment.wait_status(self.nodes[0], lambda s: s["zones"][0]["servers"] == 3)
 
     def holder(self, stage: Deployment) -> str:
@@ -103,8 +105,11 @@
         cut = self.deployment.start_node("cut", "y", cut_from_log=True)
         self.deployment.wait_ready(cut)
         changed = {**CONFIG, "queue_limit": 77}
-        path = "/v1/config?base_version=1"
-        version = self.deployment.post(self.nodes[0].http, path, changed)["version"]
+        # Versions follow offsets: instances may have claimed the zone before the first one.
+        path = f"/v1/config?base_version={self.version}"
+        answer = self.deployment.post(self.nodes[0].http, path, changed)
+        self.assertIn("version", answer, answer)
+        version = answer["version"]
         for _ in range(200):
             current = self.deployment.get(cut.http, "/v1/config")
             if current["version"] == version:
