Draw no gang of the model that prefers one rack and fits none

The model drew gangs of up to 76 tasks that take three times as long on several racks although a rack holds 8 of them; none of those can meet its objective.

--- a/standins/src/catkinknot_standins/lab/_arrivals.py
+++ b/standins/src/catkinknot_standins/lab/_arrivals.py
@@ -6,7 +6,7 @@
 
 from catkinknot.jobs import Job, Policy, Resources, Step
 
-from ._experiment import Experiment, Kind
+from ._experiment import Experiment, Fleet, Kind
 
 __all__ = ["SERVICE", "START_S", "Arrival", "draw_arrivals"]
 
@@ -82,14 +82,16 @@
     count = round(_draw_size(rng, kind.tasks, kind.tasks_spread, kind.max_tasks))
     run_s = _draw_size(rng, kind.run_s, kind.run_spread, kind.max_run_s)
     accelerators = rng.choice(kind.accelerators)
+    count = max(1, count)
     gang = rng.random() < kind.gang
+    one_rack = gang and rng.random() < kind.one_rack
     step = Step(
-        max(1, count),
+        count,
         Resources(kind.cpu_milli, kind.memory_mb, accelerators),
         estimate_ms=int(1000 * run_s * math.exp(rng.gauss(0.0, kind.estimate_error))),
         checkpoints=rng.random() < kind.checkpoints,
         gang=gang,
-        one_rack=gang and rng.random() < kind.one_rack,
+        one_rack=one_rack and count <= _rack_slots(experiment.fleet, kind, accelerators),
     )
     policy = Policy(
         kind.name,
@@ -106,6 +108,13 @@
     return Arrival(at_s, kind, job, run_s, kind.worth * size, kind.late_worth * size)
 
 
+def _rack_slots(fleet: Fleet, kind: Kind, accelerators: int) -> int:
+    """Return how many tasks of a kind fit into one empty rack."""
+    capacity = Resources(fleet.cores * 1000, fleet.memory_mb, fleet.accelerators)
+    need = Resources(kind.cpu_milli, kind.memory_mb, accelerators)
+    return fleet.per_rack * need.max_count_in(capacity)
+
+
 def _draw_size(rng: random.Random, mean: float, spread: float, largest: float) -> float:
     """Return a value of a log-normal distribution with a mean and a cut."""
     return min(largest, rng.lognormvariate(math.log(mean) - spread * spread / 2, spread))
--- a/standins/src/catkinknot_standins/lab/_experiment.py
+++ b/standins/src/catkinknot_standins/lab/_experiment.py
@@ -63,7 +63,8 @@
         memory_mb: Memory of a task, in megabytes.
         accelerators: Accelerators of a task; one of these is drawn for a job.
         gang: Share of jobs whose tasks form a gang.
-        one_rack: Share of gangs that run slower on several racks.
+        one_rack: Share of gangs that run slower on several racks; gangs that no rack can
+            hold do not.
         checkpoints: Share of jobs that save checkpoints.
         fails: Share of runs that fail halfway.
         stretch: Objective as a multiple of the run time.
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -41,6 +41,20 @@
             with self.subTest(file=path.name):
                 load_experiment(path)
 
+    def test_gangs_of_one_rack_fit_one(self) -> None:
+        """A gang that no rack can hold does not prefer one; it could never meet its objective."""
+        kind = KIND | {"name": "wide", "gang": 1.0, "one_rack": 1.0, "tasks": 12, "max_tasks": 40}
+        experiment = self._load(SMALL | {"kinds": [kind | {"accelerators": [8]}], "bursts": []})
+        steps = [
+            arrival.job.steps[0]
+            for seed in range(20)
+            for arrival in draw_arrivals(experiment, seed)
+        ]
+        wide = [step for step in steps if step.count > experiment.fleet.per_rack]
+        self.assertTrue(wide)
+        self.assertFalse(any(step.one_rack for step in wide))
+        self.assertTrue(all(step.one_rack for step in steps if step not in wide))
+
     def test_invalid_experiments(self) -> None:
         """An invalid file gives an error with a code that names the field."""
         cases = {
