Record runs beside phases, and combine callers' appends while the store is slow

The leader wrote runs and phases on one thread, and the runs, which starts wait for, waited behind its phases in the same queue: from placement to the sent start took 0.9 s (median, jobs of 12 s), 4.7 s (14 s) and 3.1 s (16 s) against 0.02 s before and after. Proofs have about 1.5 s. Ruled out: processor time of the leader (rounds went on, places were found within 0.1 s); more partitions of the topic of jobs, as every instance would make as many times the reads, which are priced. Change: each topic of the recorder has a thread. An instance whose last direct call took 60 ms or more sends unconditional appends through the leader's relay, and an `AppendCombiner` there has one call under way and sends what came meanwhile as the next. Refusals and unknown outcomes stay what they were; a leader that fails is left for 3 s; conditional appends are never combined. Ordering: a phase may now be stored before the run's record. A successor that reads a final phase stops what the older record names, which has ended; a cursor is still acknowledged only after the record of its ends.

--- a/app/src/catkinknot/node/_node.py
+++ b/app/src/catkinknot/node/_node.py
@@ -13,6 +13,7 @@
 from catkinknot.coordination import (
     JOBS,
     LEAD_KEY,
+    AppendCombiner,
     Claim,
     Election,
     JobService,
@@ -77,7 +78,9 @@
 """Time between two reads of the settings file."""
 
 CALLER_THREADS = 20
-RELAY_THREADS = 8
+RELAY_THREADS = 24
+"""Calls of other instances that are forwarded at once; those that combine wait for each other."""
+
 IDLE_TIMEOUT_S = 15.0
 STOP_MARGIN_S = 3.0
 """Time before the kill at which the HTTP servers accept no more calls."""
@@ -156,9 +159,13 @@
             seeds=settings.seeds,
             make_route=_route_through,
         )
+        self.direct_store = AppendCombiner(
+            PlatformStore(settings.store.host, settings.store.port), clock=self.clock
+        )
         self.store = StoreRouter(
-            PlatformStore(settings.store.host, settings.store.port),
+            self.direct_store,
             peers=self.peers.routes,
+            combiner=lambda: self.peers.address_of(self.election.leader),
             clock=self.clock,
             observe=self.metrics.observe_store,
         )
@@ -387,7 +394,11 @@
         for app, endpoint, threads in (
             (readiness(node.ready), settings.readiness, 1),
             (metrics_page(node.metrics.text), metrics_endpoint, 1),
-            (relay(settings.store.host, settings.store.port), settings.relay, RELAY_THREADS),
+            (
+                relay(settings.store.host, settings.store.port, store=node.direct_store),
+                settings.relay,
+                RELAY_THREADS,
+            ),
         ):
             stack.enter_context(
                 open_server(
--- a/libs/coordination/src/catkinknot/coordination/__init__.py
+++ b/libs/coordination/src/catkinknot/coordination/__init__.py
@@ -1,6 +1,7 @@
 """Leader election, scheduling and job service over one shared store."""
 
 from ._cluster_state import ClusterState
+from ._combine import AppendCombiner
 from ._election import Election
 from ._job_service import Answer, JobService, Verdict
 from ._leader import Claim, Leader
@@ -30,6 +31,7 @@
     "PEERS",
     "RUNS",
     "Answer",
+    "AppendCombiner",
     "Batch",
     "Claim",
     "ClusterState",
--- a/libs/coordination/src/catkinknot/coordination/_election.py
+++ b/libs/coordination/src/catkinknot/coordination/_election.py
@@ -52,6 +52,7 @@
     Attributes:
         epoch: Highest epoch seen.
         leading: The leader that this instance runs, None while it follows.
+        leader: Name of the instance that leads, empty if none is known to.
     """
 
     def __init__(
@@ -86,6 +87,7 @@
         self._resigned = threading.Event()
         self._log = logger.bind(part="election")
         self.epoch = 0
+        self.leader = ""
         self.leading: Leader | None = None
 
     def on_leader_record(self, value: bytes, *, fresh: bool = True) -> None:
@@ -111,8 +113,10 @@
             self._nonce = nonce
             if leader_record.get("resigned"):
                 self._vacant_at_s = min(self._vacant_at_s, self._clock.now())
+                self.leader = ""
             elif fresh:
                 self._vacant_at_s = self._clock.now() + ELECTION_TIMEOUT_S
+                self.leader = str(leader_record.get("instance", ""))
 
     def resign(self) -> None:
         """Stop leading for good, because the instance is about to shut down."""
--- a/libs/coordination/src/catkinknot/coordination/_leader.py
+++ b/libs/coordination/src/catkinknot/coordination/_leader.py
@@ -23,7 +23,7 @@
 from ._planner import Planner
 from ._recorder import Recorder
 from ._servers import ServerCalls, ServerListing
-from ._store import RUNS, Store
+from ._store import JOBS, RUNS, Store
 from ._views import RunView, ServerView
 from ._watch import Watcher, needs_watch
 from .exceptions import StoreError
@@ -147,7 +147,8 @@
         self._log.bind(jobs=len(self.cluster.jobs), servers=len(self.cluster.servers)).info(
             "This instance has begun to lead."
         )
-        self._spawn(self.recorder.run, "recorder", self.stopped)
+        for topic in (RUNS, JOBS):
+            self._spawn(self.recorder.run, f"recorder-{topic}", topic, self.stopped)
         self._spawn(self._follow_listing, "listing")
         self._spawn(self._decide, "planner")
 
--- a/libs/coordination/src/catkinknot/coordination/_peers.py
+++ b/libs/coordination/src/catkinknot/coordination/_peers.py
@@ -53,12 +53,17 @@
         self._make_route = make_route
         self._log = logger.bind(part="peers")
         self._routes = {seed: make_route(seed) for seed in seeds if seed != address}
+        self._addresses: dict[str, str] = {}
         self.rank: int | None = None
 
     def routes(self) -> dict[str, Store]:
         """Return the routes through other instances, by address."""
         return self._routes
 
+    def address_of(self, instance: str) -> str:
+        """Return the relay address of another instance, empty if it is not known."""
+        return self._addresses.get(instance, "")
+
     def run(self, store: Store, stopped: threading.Event) -> None:
         """Register this instance, then read the list periodically until stopped."""
         registered = False
@@ -81,6 +86,7 @@
         so the list holds one record per instance of the deployment.
         """
         found = {}
+        addresses = {}
         order = {_succession_key(self._instance, self._cores)}
         for name, value in records.items():
             try:
@@ -95,8 +101,10 @@
             if name != self._instance:
                 order.add(_succession_key(name, cores))
             if address != self._address:
+                addresses[name] = address
                 found[address] = self._routes.get(address) or self._make_route(address)
         self._routes = found
+        self._addresses = addresses
         self.rank = sorted(order).index(_succession_key(self._instance, self._cores))
 
     def _own_record(self) -> Record:
--- a/libs/coordination/src/catkinknot/coordination/_recorder.py
+++ b/libs/coordination/src/catkinknot/coordination/_recorder.py
@@ -1,4 +1,4 @@
-"""Write the leader's records in batches, each before the actions that depend on it."""
+"""Write the leader's records in batches, those of runs before the actions that need them."""
 
 import json
 import threading
@@ -47,11 +47,11 @@
 
 
 class Recorder:
-    """Writes changed records to the store, one batch at a time.
+    """Writes changed records to the store, one batch of each topic at a time.
 
     A key that changes again before its batch is sent is written once.
-    Callbacks for a batch run on the recorder's thread once the store has
-    accepted the batch.
+    Callbacks for a batch of runs are called on the thread of that topic once
+    the store has accepted the batch.
 
     Attributes:
         confirmed_s: When the last accepted append was sent.
@@ -103,54 +103,66 @@
         with self._cond:
             self._leader_record = self._resignation
             self._leader_record_at_s = float("-inf")
-            self._cond.notify()
+            self._cond.notify_all()
 
     def put(self, topic: str, key: str, value: bytes) -> None:
         """Queue a record for the next batch."""
         with self._cond:
             self._dirty[topic][key] = value
-            self._cond.notify()
+            self._cond.notify_all()
 
     def after(self, action: Callable[[], None]) -> None:
-        """Run an action once all records queued so far are in the store."""
+        """Run an action once all records of runs queued so far are in the store."""
         with self._cond:
             self._callbacks.append(action)
-            self._cond.notify()
+            self._cond.notify_all()
 
-    def run(self, stopped: threading.Event) -> None:
-        """Write batches until stopped or fenced."""
+    def run(self, topic: str, stopped: threading.Event) -> None:
+        """Write the batches of one topic until stopped or fenced.
+
+        Each topic has a thread of its own, so that starts, which wait for
+        their runs to be recorded, never wait for an append of phases: callers'
+        jobs keep that topic busy while the store is slow.
+        """
         while not stopped.is_set() and not self.fenced:
             with self._cond:
                 idle_s = self._leader_record_at_s + LEADER_RECORD_INTERVAL_S - self._clock.now()
-                if not self._pending() and idle_s > 0:
-                    self._cond.wait(idle_s)
-            self.flush(stopped)
-            if self._phases_deferred():
+                if not self._pending(topic) and (topic == RUNS or idle_s > 0):
+                    self._cond.wait(LEADER_RECORD_INTERVAL_S if topic == RUNS else idle_s)
+            self._flush_topic(topic, stopped)
+            if topic == JOBS and self._phases_deferred():
                 stopped.wait(RETRY_S)
 
     def flush(self, stopped: threading.Event) -> None:
-        """Write the queued records, then run the callbacks that wait for them."""
+        """Write the queued records of all topics, and run the callbacks that wait for them."""
+        for topic in self._dirty:
+            self._flush_topic(topic, stopped)
+
+    def _flush_topic(self, topic: str, stopped: threading.Event) -> None:
+        """Write the queued records of one topic; those of runs have callbacks."""
+        batch, callbacks = self._take_runs() if topic == RUNS else (self._take_phases(), [])
+        records = [Record(key, value) for key, value in batch.items()]
+        if records and not self._append(topic, records, stopped):
+            return
+        for action in callbacks:
+            action()
+
+    def _take_runs(self) -> tuple[dict[str, bytes], list[Callable[[], None]]]:
+        """Take the queued records of runs, and the callbacks that wait for them."""
         with self._cond:
-            deferred = {JOBS} if self._phases_deferred() else set()
-            batches = {
-                topic: {} if topic in deferred else dict(keys)
-                for topic, keys in self._dirty.items()
-            }
+            batch, self._dirty[RUNS] = self._dirty[RUNS], {}
             callbacks, self._callbacks = self._callbacks, []
-            for topic, keys in self._dirty.items():
-                if topic not in deferred:
-                    keys.clear()
-        if self._clock.now() - self._leader_record_at_s >= LEADER_RECORD_INTERVAL_S:
-            batches[JOBS].setdefault(self._leader_record.key, self._leader_record.value)
-        for topic, keys in batches.items():
-            if topic == JOBS and not keys:
-                continue
-            records = [Record(key, value) for key, value in keys.items()]
-            if records and not self._append(topic, records, stopped):
-                return
-            if topic == RUNS:
-                for action in callbacks:
-                    action()
+        return batch, callbacks
+
+    def _take_phases(self) -> dict[str, bytes]:
+        """Take the queued phases, and add the leader record if it is due."""
+        batch: dict[str, bytes] = {}
+        with self._cond:
+            if not self._phases_deferred():
+                batch, self._dirty[JOBS] = self._dirty[JOBS], {}
+            if self._clock.now() - self._leader_record_at_s >= LEADER_RECORD_INTERVAL_S:
+                batch.setdefault(self._leader_record.key, self._leader_record.value)
+        return batch
 
     def _note_leader_record(self, records: list[Record], sent_s: float) -> None:
         """Note when the current leader record was written."""
@@ -167,9 +179,9 @@
             and self._clock.now() - self._phases_written_s < SLOW_BATCH_INTERVAL_S
         )
 
-    def _pending(self) -> bool:
-        """Return whether there are records to write or callbacks to run."""
-        return bool(self._callbacks or any(self._dirty.values()))
+    def _pending(self, topic: str) -> bool:
+        """Return whether a topic has records to write, or callbacks to run."""
+        return bool(self._dirty[topic] or (topic == RUNS and self._callbacks))
 
     def _append(self, topic: str, records: list[Record], stopped: threading.Event) -> bool:
         """Append one batch, repeatedly until its outcome is known."""
@@ -199,7 +211,8 @@
                 stopped.wait(RETRY_S)
                 continue
             self._numbers[topic] += 1
-            self.confirmed_s = sent_s
+            with self._cond:
+                self.confirmed_s = max(self.confirmed_s, sent_s)
             if topic == JOBS:
                 self._phases_written_s = self._clock.now()
                 self._append_duration_s = self._phases_written_s - sent_s
--- a/libs/coordination/src/catkinknot/coordination/_routes.py
+++ b/libs/coordination/src/catkinknot/coordination/_routes.py
@@ -22,6 +22,9 @@
 PEER_ATTEMPT_COUNT = 2
 """Number of other instances tried for one call."""
 
+SLOW_CALL_S = 0.06
+"""Duration of a direct call from which the store counts as slow."""
+
 T = TypeVar("T")
 
 
@@ -31,6 +34,10 @@
     A call that is refused on one route is retried on the next. A call
     without an answer may have been executed, so it is left to the caller to
     repeat; the repetition takes another route.
+
+    While the store is slow, unconditional appends go through one instance for
+    all, which combines them: the store processes the appends to a topic one
+    at a time, and those of hundreds of instances would wait there for seconds.
     """
 
     def __init__(
@@ -38,6 +45,7 @@
         direct: Store,
         *,
         peers: Callable[[], dict[str, Store]],
+        combiner: Callable[[], str] = lambda: "",
         clock: Clock,
         observe: Callable[[str, str, float], None] = lambda kind, outcome, seconds: None,
     ) -> None:
@@ -46,6 +54,8 @@
         Args:
             direct: Direct route to the store.
             peers: Returns the routes through other instances, by address.
+            combiner: Returns the address of the instance that combines appends,
+                empty for none.
             clock: Source of time.
             observe: Called with the kind, outcome and duration in seconds of
                 each call.
@@ -53,10 +63,12 @@
         self._observe = observe
         self._direct = direct
         self._peers = peers
+        self._combiner = combiner
         self._clock = clock
         self._lock = threading.Lock()
         self._backoff_until_s: dict[str, float] = {}
         self._via_peer = False
+        self._slow = False
         self._log = logger.bind(part="ways")
 
     def append(
@@ -74,6 +86,7 @@
             lambda route: route.append(
                 topic, records, fence=fence, only_at=only_at, timeout_s=timeout_s
             ),
+            combine=self._slow and fence is None and only_at is None,
         )
 
     def read(self, topic: str, start: int) -> Batch:
@@ -84,22 +97,23 @@
         """Return the newest record of every key."""
         return self._call("newest", lambda route: route.newest(topic))
 
-    def _call(self, kind: str, action: Callable[[Store], T]) -> T:
+    def _call(self, kind: str, action: Callable[[Store], T], *, combine: bool = False) -> T:
         """Make a call, and report its outcome and duration."""
         began_s = self._clock.now()
         outcome = "done"
         try:
-            return self._try_routes(action)
+            return self._try_routes(action, combine)
         except StoreError as exc:
             outcome = type(exc).__name__
             raise
         finally:
             self._observe(kind, outcome, self._clock.now() - began_s)
 
-    def _try_routes(self, action: Callable[[Store], T]) -> T:
+    def _try_routes(self, action: Callable[[Store], T], combine: bool) -> T:
         """Make a call on the first route that doesn't refuse it."""
         refused: StoreRefusedError | None = None
-        for name, route in self._choose_routes():
+        for name, route in self._choose_routes(combine):
+            began_s = self._clock.now()
             try:
                 answer = action(route)
             except StoreRefusedError as exc:
@@ -109,11 +123,14 @@
             except StoreSilentError:
                 self._back_off(name)
                 raise
-            self._log_change(name)
+            if not combine:
+                self._log_change(name)
+            if not name:
+                self._note_duration(self._clock.now() - began_s)
             return answer
         raise refused or StoreRefusedError("no route to the store is available")
 
-    def _choose_routes(self) -> list[tuple[str, Store]]:
+    def _choose_routes(self, combine: bool) -> list[tuple[str, Store]]:
         """Return the routes to try, preferred first; the direct route is always one."""
         now_s = self._clock.now()
         with self._lock:
@@ -121,8 +138,11 @@
                 name for name, until_s in self._backoff_until_s.items() if until_s > now_s
             }
         peers = [(name, route) for name, route in self._peers().items() if name not in backed_off]
-        peers = peers[:PEER_ATTEMPT_COUNT]
         direct = ("", self._direct)
+        combiner = self._combiner() if combine else ""
+        if combiner:
+            return [*((name, route) for name, route in peers if name == combiner), direct]
+        peers = peers[:PEER_ATTEMPT_COUNT]
         return [*peers, direct] if "" in backed_off else [direct, *peers]
 
     def _back_off(self, name: str) -> None:
@@ -131,6 +151,16 @@
         with self._lock:
             self._backoff_until_s[name] = self._clock.now() + backoff_s
 
+    def _note_duration(self, duration_s: float) -> None:
+        """Log when the store becomes slow, or fast again."""
+        slow = duration_s >= SLOW_CALL_S
+        with self._lock:
+            changed, self._slow = slow != self._slow, slow
+        if changed:
+            self._log.bind(
+                duration_ms=int(duration_s * 1000), slow=slow, combiner=self._combiner()
+            ).info("The store has become slow, or fast again.")
+
     def _log_change(self, name: str) -> None:
         """Log when calls switch between the direct route and one through a peer."""
         via_peer = bool(name)
--- a/libs/coordination/tests/test_recorder.py
+++ b/libs/coordination/tests/test_recorder.py
@@ -31,6 +31,57 @@
         return super().append(topic, records, fence=fence, only_at=only_at)
 
 
+class BusyTopicStore(StoreView):
+    """Store in which appends to the topic of jobs wait for an event."""
+
+    def __init__(self, store: KeyedStore) -> None:
+        """Create a store whose topic of jobs is busy."""
+        super().__init__(store)
+        self.jobs_are_free = threading.Event()
+        self.jobs_append_begun = threading.Event()
+
+    def append(self, topic, records, *, fence=None, only_at=None, timeout_s=None) -> int:
+        """Append, to the topic of jobs only once it is free."""
+        if topic == JOBS:
+            self.jobs_append_begun.set()
+            self.jobs_are_free.wait(10.0)
+        return super().append(topic, records, fence=fence, only_at=only_at)
+
+
+class TestBusyTopicOfJobs(unittest.TestCase):
+    """Starts while a slow store keeps the topic of jobs busy with callers' jobs."""
+
+    def test_starts_do_not_wait_for_phases(self) -> None:
+        """Runs are recorded, and their starts sent, while an append of phases waits."""
+        store = KeyedStore()
+        for topic in (JOBS, RUNS):
+            store.do_append(topic, [Record(LEAD_KEY, b"{}")], Fence(PRODUCER, EPOCH, 0), None)
+        view = BusyTopicStore(store)
+        clock = SteppedClock(100.0)
+        recorder = Recorder(
+            view, epoch=EPOCH, instance="test", nonce="n", first_numbers={JOBS: 1, RUNS: 1},
+            confirmed_s=clock.now(), clock=clock,
+        )  # fmt: skip
+        stopped, sent = threading.Event(), threading.Event()
+        threads = [
+            threading.Thread(target=recorder.run, args=(topic, stopped)) for topic in (JOBS, RUNS)
+        ]
+        recorder.put(JOBS, "a/s", b"running")
+        for thread in threads:
+            thread.start()
+        self.assertTrue(view.jobs_append_begun.wait(10.0))
+        recorder.put(RUNS, "b.0.0", b"r")
+        recorder.after(sent.set)
+        started_meanwhile = sent.wait(5.0)
+        stopped.set()
+        view.jobs_are_free.set()
+        for thread in threads:
+            thread.join()
+        self.assertTrue(started_meanwhile)
+        self.assertIn("b.0.0", view.newest(RUNS).records)
+        self.assertIn("a/s", view.newest(JOBS).records)
+
+
 class TestRecorder(unittest.TestCase):
     """Batching of changed records."""
 
