Try a gang once a round for each kind, and read the guarantees once

Cause: with waiting gangs a round searched all servers for each of them, though free capacity only shrinks during a round; and every round worked out twice which jobs the guarantees cover. Ruled out: keeping the memory across rounds, as any end of a run may make room. Change: a gang as large as one of its kind that did not fit, or for which no servers could be reserved, is passed over for the rest of the round. The kind includes the priority, as the servers open to lower priorities are fewer. Twenty alike gangs cost one search, twenty before.

--- a/libs/coordination/src/catkinknot/coordination/_planner.py
+++ b/libs/coordination/src/catkinknot/coordination/_planner.py
@@ -110,11 +110,12 @@
             evict_from_draining(cluster, self._clock)
             purge_ended_jobs(cluster, self._recorder, self._clock)
             cluster.refresh_capacity()
-            self._mark_guaranteed()
+            guaranteed_ids = self._guaranteed_job_ids()
+            self._mark_guaranteed(guaranteed_ids)
             self._use_reservations()
             pending_steps = [
                 pending_step
-                for pending_step in self._pending_steps()
+                for pending_step in self._pending_steps(guaranteed_ids)
                 if pending_step.state.key not in self._pending_reservations
             ]
             if not pending_steps:
@@ -184,9 +185,8 @@
             headroom |= select_headroom(members, demand.peak)
         return frozenset(headroom)
 
-    def _mark_guaranteed(self) -> None:
+    def _mark_guaranteed(self, guaranteed_ids: set[str]) -> None:
         """Mark the running tasks that are covered by the guarantee of their workspace."""
-        guaranteed_ids = self._guaranteed_job_ids()
         for view in self._cluster.servers.values():
             for task, occupant in view.room.occupants.items():
                 occupant.guaranteed = view.runs[task].key.job in guaranteed_ids
@@ -205,9 +205,8 @@
             (state for view in views for state in view.steps.values()), guarantees
         )
 
-    def _pending_steps(self) -> list[PendingStep]:
+    def _pending_steps(self, guaranteed_ids: set[str]) -> list[PendingStep]:
         """Return the steps that are ready to be placed."""
-        guaranteed_ids = self._guaranteed_job_ids()
         found = []
         for view in self._cluster.jobs.values():
             if view.phase.final:
--- a/libs/packing/src/catkinknot/packing/_plan.py
+++ b/libs/packing/src/catkinknot/packing/_plan.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field, replace
 from enum import IntEnum
+from math import inf
 
 from catkinknot.jobs import Resources, StepState
 
@@ -134,6 +135,10 @@
         victim_searches: How many searches for victims were made.
         unplaceable: Kinds of tasks that fit on no server; free capacity only
             shrinks during a round.
+        failed_gangs: Smallest gang that did not fit, by kind of request; larger
+            gangs of that kind do not fit either.
+        failed_reservations: Smallest gang for which no servers could be
+            reserved, by kind of task.
         idle: Whether more than half of a pool is idle, by pool.
         gang_reserved: Priority of the gang that a server is reserved for, by
             server; tasks with less urgent priority may not start there.
@@ -144,6 +149,8 @@
     urgent_only: frozenset[str]
     victim_searches: int = 0
     unplaceable: set[tuple] = field(default_factory=set)
+    failed_gangs: dict[tuple, int] = field(default_factory=dict)
+    failed_reservations: dict[tuple, int] = field(default_factory=dict)
     idle: dict[str, bool] = field(default_factory=dict)
     gang_reserved: dict[str, int] = field(default_factory=dict)
     gang_count: int = 0
@@ -167,10 +174,17 @@
     unconstrained = not (pending_step.avoided_servers or step.data_rack or step.max_per_server)
     if task_kind in round_state.unplaceable and not pending_step.may_preempt:
         return None
+    pool = capacities
     if policy.priority and (round_state.urgent_only or round_state.gang_reserved):
-        capacities = _servers_for_lower_priority(pending_step, capacities, now_s, round_state)
-    for req in _requests(pending_step, capacities, now_s):
-        placement = place(req) if task_kind not in round_state.unplaceable else None
+        pool = _servers_for_lower_priority(pending_step, capacities, now_s, round_state)
+    for req in _requests(pending_step, pool, now_s):
+        gang_kind = (*task_kind, policy.priority, req.one_rack, pool is capacities)
+        if task_kind in round_state.unplaceable:
+            placement = None
+        elif step.gang and unconstrained:
+            placement = _place_gang(req, gang_kind, round_state)
+        else:
+            placement = place(req)
         if placement is not None:
             return placement
         if unconstrained and not any(req.need.fits(capacity.free()) for capacity in req.usable):
@@ -184,6 +198,17 @@
     return None
 
 
+def _place_gang(req: Request, kind: tuple, round_state: _RoundState) -> Placement | None:
+    """Place a gang, unless a smaller one of its kind did not fit earlier in the round."""
+    wanted = len(req.indexes)
+    if wanted >= round_state.failed_gangs.get(kind, inf):
+        return None
+    placement = place(req)
+    if placement is None:
+        round_state.failed_gangs[kind] = wanted
+    return placement
+
+
 def _servers_for_lower_priority(
     pending_step: PendingStep,
     capacities: list[ServerCapacity],
@@ -223,6 +248,10 @@
     late = pending_step.prospect is not ExpectedValue.IN_TIME
     if not step.gang or late or round_state.gang_count >= MAX_RESERVING_GANGS:
         return
+    wanted = len(pending_step.state.waiting())
+    kind = (step.allocation, policy.service, step.labels, policy.priority, step.max_per_server)
+    if wanted >= round_state.failed_reservations.get(kind, inf):
+        return
     usable = [
         capacity
         for capacity in capacities
@@ -233,12 +262,12 @@
         usable = [capacity for capacity in usable if capacity.server not in round_state.urgent_only]
     pool_size = sum(capacity.service == policy.service for capacity in capacities)
     chosen = _earliest_servers(pending_step.state, usable, policy.priority)
-    if (
-        chosen
-        and len(round_state.gang_reserved) + len(chosen) <= MAX_GANG_RESERVED_SHARE * pool_size
-    ):
-        round_state.gang_reserved |= dict.fromkeys(chosen, policy.priority)
-        round_state.gang_count += 1
+    reserved_count = len(round_state.gang_reserved) + len(chosen)
+    if not chosen or reserved_count > MAX_GANG_RESERVED_SHARE * pool_size:
+        round_state.failed_reservations[kind] = wanted
+        return
+    round_state.gang_reserved |= dict.fromkeys(chosen, policy.priority)
+    round_state.gang_count += 1
 
 
 def _earliest_servers(state: StepState, usable: list[ServerCapacity], priority: int) -> list[str]:
--- a/libs/packing/tests/test_plan.py
+++ b/libs/packing/tests/test_plan.py
@@ -2,6 +2,7 @@
 
 import random
 import unittest
+from unittest import mock
 
 from catkinknot.jobs import Job, Policy, Resources, Step, StepKey, StepState
 from catkinknot.packing import (
@@ -11,6 +12,7 @@
     PendingStep,
     Request,
     ServerCapacity,
+    _plan,
     guaranteed_jobs,
     place,
     place_by_preemption,
@@ -57,6 +59,73 @@
     return Request("s", need, tuple(range(count)), "render", 0, usable=tuple(capacities), **extra)
 
 
+class _Forgetful(dict):
+    """Mapping that keeps nothing."""
+
+    def __setitem__(self, key, value) -> None:
+        """Drop the value."""
+
+
+class _NaiveRoundState(_plan._RoundState):
+    """State of a round that does not remember which gangs did not fit."""
+
+    def __post_init__(self) -> None:
+        """Forget each gang that did not fit."""
+        self.failed_gangs = _Forgetful()
+        self.failed_reservations = _Forgetful()
+
+
+class TestManyWaitingGangs(unittest.TestCase):
+    """Gangs of all sizes wait for a nearly full fleet, as after a burst."""
+
+    def _random_round(self, rng: random.Random) -> tuple[list[PendingStep], list[ServerCapacity]]:
+        """Return waiting gangs and a fleet with tasks on it."""
+        capacities = [empty_server(f"s{n:02}", f"r{n // 4}") for n in range(12)]
+        for n, capacity in enumerate(capacities):
+            for k in range(rng.randrange(4)):
+                unsaved = rng.choice((1.0, 40.0))
+                add_task(capacity, f"t{n}.{k}", rng.choice((1, 2)), priority=2, unsaved=unsaved)
+        pending = [
+            PendingStep(
+                state(
+                    f"{n:016x}", rng.randrange(1, 14), rng.choice((1, 4, 8)),
+                    priority=rng.choice((0, 1, 1, 2)), gang=True, one_rack=rng.random() < 0.4,
+                ),
+                rng.uniform(0.0, 5.0),
+                prospect=rng.choice(list(ExpectedValue)),
+                may_preempt=rng.random() < 0.3,
+                preemption_limit_core_s=20.0,
+            )
+            for n in range(14)
+        ]  # fmt: skip
+        return pending, capacities
+
+    def test_same_placements_as_without_memory(self) -> None:
+        """Remembering the gangs that did not fit changes no placement of a round."""
+        for seed in range(300):
+            rounds = []
+            for round_state in (_plan._RoundState, _NaiveRoundState):
+                pending, capacities = self._random_round(random.Random(seed))
+                with mock.patch.object(_plan, "_RoundState", round_state):
+                    chosen = plan_placements(
+                        pending, capacities, 6.0, urgent_only=frozenset({"s00"})
+                    )
+                rounds.append([(str(step.state.key), placement) for step, placement in chosen])
+            with self.subTest(seed=seed):
+                self.assertEqual(*rounds)
+
+    def test_a_gang_as_large_is_not_tried_again(self) -> None:
+        """Twenty alike gangs that do not fit cost one search for servers, not twenty."""
+        capacities = [empty_server(f"s{n}") for n in range(3)]
+        pending = [
+            PendingStep(state(f"{n:016x}", 4, 8, priority=1, gang=True), 0.0, may_preempt=False)
+            for n in range(20)
+        ]
+        with mock.patch.object(_plan, "place", wraps=place) as search:
+            self.assertEqual(plan_placements(pending, capacities, 0.0), [])
+        self.assertEqual(search.call_count, 1)
+
+
 class TestPlace(unittest.TestCase):
     """Test placement on free capacity."""
 
