Let work that resumes use the servers kept clear for urgent work

A task that saves a checkpoint when it is stopped loses next to nothing, but counted as losing all since its last checkpoint, or since its start before the first one. Change: runs of steps with checkpoints lose half a second of their server's time when they are stopped; such steps may start on the servers kept clear, and what they use there still counts as clear.

--- a/libs/coordination/src/catkinknot/coordination/_cluster_state.py
+++ b/libs/coordination/src/catkinknot/coordination/_cluster_state.py
@@ -37,6 +37,9 @@
 QUARANTINE_S = 6.0
 """Time for which a server that fails many jobs gets no new work."""
 
+RESUME_COST_S = 0.5
+"""Time of its server that a run loses if it saves a checkpoint when stopped, and resumes."""
+
 MAX_UNACKNOWLEDGED_END_COUNT = 400
 """Unacknowledged ends above which a server gets no new work; one answer lists 500 at most."""
 
@@ -149,6 +152,7 @@
             step=str(state.key),
             need=state.step.allocation,
             priority=state.job.policy.priority,
+            resumable=state.step.checkpoints,
             pinned=state.step.max_unavailable > 0,
         )
 
@@ -219,8 +223,10 @@
                         occupant.need.cpu_milli / 1000
                         + occupant.need.accelerators * ACCELERATOR_CORES
                     )
-                    since = run.checkpoint_seen_s if run.checkpoint else run.assigned_s
-                    occupant.unsaved_core_s = cores * max(0.0, now_s - since)
+                    lost_s = now_s - run.assigned_s
+                    if occupant.resumable:
+                        lost_s = min(lost_s, RESUME_COST_S)
+                    occupant.unsaved_core_s = cores * max(0.0, lost_s)
                     if run.stopping:
                         occupant.pinned = True
 
--- a/libs/coordination/src/catkinknot/coordination/_reports.py
+++ b/libs/coordination/src/catkinknot/coordination/_reports.py
@@ -145,9 +145,8 @@
     if run.last_progress_s is None or run.percent != row.percent:
         run.last_progress_s = now_s
     run.percent = row.percent
-    if row.checkpoint and row.checkpoint != run.checkpoint:
+    if row.checkpoint:
         run.checkpoint = row.checkpoint
-        run.checkpoint_seen_s = now_s
 
 
 def _stop_orphaned_run(cluster: ClusterState, view: ServerView, row: RunRow) -> None:
--- a/libs/coordination/src/catkinknot/coordination/_views.py
+++ b/libs/coordination/src/catkinknot/coordination/_views.py
@@ -35,7 +35,6 @@
         stop_acknowledged: Whether the server has answered a stop order.
         doubtful: Whether a start order got no answer, so the run may exist.
         checkpoint: Latest checkpoint that the server reported.
-        checkpoint_seen_s: When that checkpoint was first reported.
         percent: Progress, as the server reports it.
         last_progress_s: When the progress last changed, None before the server first
             listed the run.
@@ -53,7 +52,6 @@
     stop_acknowledged: bool = False
     doubtful: bool = False
     checkpoint: str = ""
-    checkpoint_seen_s: float = 0.0
     percent: int = 0
     last_progress_s: float | None = None
 
--- a/libs/coordination/tests/test_leader.py
+++ b/libs/coordination/tests/test_leader.py
@@ -122,6 +122,20 @@
         self.run_for(60.0)
         self.assertEqual(self.first.phase("a" * 16), JobPhase.COMPLETED)
 
+    def test_work_that_saves_at_a_stop_is_stopped_first(self) -> None:
+        """Of two runs the one that resumes is stopped, although it has run for longer."""
+        saving, other = "a" * 16, "c" * 16
+        self.submit(job(saving, step(1, gpu=8, checkpoints=True)))
+        self.run_for(4.0)
+        self.submit(job(other, step(1, gpu=8)))
+        self.run_for(2.0)
+        self.submit(job("b" * 16, step(1, gpu=8), priority=0))
+        self.run_for(self.RECLAIM_S)
+        running = self.env.running()
+        self.assertIn("b" * 16 + ".0.0.0", running)
+        self.assertIn(f"{other}.0.0.0", running)
+        self.assertNotIn(f"{saving}.0.0.0", running)
+
     def test_urgent_job_waits_for_capacity_about_to_be_free(self) -> None:
         """Work that is about to end is not preempted."""
         self.submit(job("a" * 16, step(2, gpu=8)))
--- a/libs/packing/src/catkinknot/packing/_capacity.py
+++ b/libs/packing/src/catkinknot/packing/_capacity.py
@@ -20,6 +20,7 @@
         priority: Priority of the job's queue; 0 is the highest.
         guaranteed: Whether the run is covered by its workspace's guarantee.
         unsaved_core_s: Work lost if the run is stopped now, in core-seconds.
+        resumable: Whether the run saves a checkpoint when it is stopped.
         pinned: Whether the run must not be preempted.
     """
 
@@ -30,6 +31,7 @@
     priority: int
     guaranteed: bool = False
     unsaved_core_s: float = 0.0
+    resumable: bool = False
     pinned: bool = False
 
 
--- a/libs/packing/src/catkinknot/packing/_headroom.py
+++ b/libs/packing/src/catkinknot/packing/_headroom.py
@@ -88,6 +88,10 @@
 
 
 def _accelerators_for_urgent(capacity: ServerCapacity) -> int:
-    """Return the accelerators that urgent work uses or could use at once."""
-    used = sum(o.need.accelerators for o in capacity.occupants.values() if o.priority == 0)
-    return used + max(0, capacity.free().accelerators) if capacity.schedulable else used
+    """Return the accelerators that urgent work uses or could use within the time of a stop."""
+    occupants = capacity.occupants.values()
+    used = sum(o.need.accelerators for o in occupants if o.priority == 0)
+    if not capacity.schedulable:
+        return used
+    resumable = sum(o.need.accelerators for o in occupants if o.priority and o.resumable)
+    return used + resumable + max(0, capacity.free().accelerators)
--- a/libs/packing/src/catkinknot/packing/_plan.py
+++ b/libs/packing/src/catkinknot/packing/_plan.py
@@ -225,7 +225,7 @@
     unreserved = [
         capacity
         for capacity in capacities
-        if capacity.server not in round_state.urgent_only
+        if (step.checkpoints or capacity.server not in round_state.urgent_only)
         and round_state.gang_reserved.get(capacity.server, priority) >= priority
     ]
     min_slots = len(pending_step.state.waiting()) if step.gang else 1
--- a/libs/packing/tests/test_headroom.py
+++ b/libs/packing/tests/test_headroom.py
@@ -91,6 +91,45 @@
         ((_, gang),) = plan_placements([proof], capacities, 1.0, urgent_only=reserved)
         self.assertEqual(gang.victims, set())
 
+    def test_waiting_work_after_a_burst_of_proofs(self) -> None:
+        """Servers kept clear after a burst run tasks that lose nothing when they are stopped.
+
+        Otherwise a third of the fleet stands empty while small tasks wait.
+        """
+        capacities = fleet(4, 6)
+        reserved = frozenset(select_headroom(capacities, 64))
+        for capacity in capacities:
+            if capacity.server not in reserved:
+                add_task(capacity, f"x{capacity.server}", 8, priority=1)
+        checks = [
+            PendingStep(state("a" * 16, 40, 1, priority=2), 0.0, may_preempt=False),
+            PendingStep(state("b" * 16, 40, 1, priority=2, checkpoints=True), 0.0),
+        ]
+        ((chosen, placement),) = plan_placements(checks, capacities, 5.0, urgent_only=reserved)
+        self.assertTrue(chosen.state.step.checkpoints)
+        self.assertEqual(len(placement.places), 40)
+        self.assertEqual(placement.victims, set())
+
+    def test_resumable_work_counts_as_clear(self) -> None:
+        """Resumable tasks on the servers kept clear do not make the planner clear others."""
+        capacities = fleet(4, 6)
+        before = select_headroom(capacities, 64)
+        for capacity in capacities:
+            if capacity.server in before:
+                add_task(capacity, f"x{capacity.server}", 8, resumable=True)
+        self.assertEqual(select_headroom(capacities, 64), before)
+
+    def test_burst_of_proofs_stops_resumable_work_first(self) -> None:
+        """An urgent gang gets its servers from tasks that resume, whatever these have done."""
+        capacities = fleet(1, 4)
+        for n, capacity in enumerate(capacities):
+            resumable = n % 2 == 0
+            unsaved = 4.0 if resumable else 20.0
+            add_task(capacity, f"t{n}", 8, unsaved=unsaved, resumable=resumable)
+        proof = PendingStep(state("proof", 2, 8, gang=True), 0.0)
+        ((_, gang),) = plan_placements([proof], capacities, 1.0)
+        self.assertEqual(gang.victims, {"t0", "t2"})
+
     def test_other_work_does_not_preempt_on_reserved_servers(self) -> None:
         """Less urgent work preempts no task on reserved servers."""
         capacities = fleet(1, 2)
--- a/standins/src/catkinknot_standins/lab/_fleet.py
+++ b/standins/src/catkinknot_standins/lab/_fleet.py
@@ -145,7 +145,6 @@
                 return
             for _, run in execution.members:
                 run.checkpoint = f"{execution.progress_s(self.clock.now()):.3f}"
-                run.checkpoint_seen_s = self.clock.now()
             self._save_later(execution, 0.0)
 
         self._at(delay_s + self.fleet.checkpoint_s * execution.factor, save)
