Keep the order of waiting jobs across leaders, and servers for late gangs

Change: steps are ordered by when their occurrence was due, by the ledger; waits before a preemption still count from when this leader saw the step. Servers are reserved for gangs that are late, after those in time, not for ones without value.

--- a/libs/coordination/src/catkinknot/coordination/_planner.py
+++ b/libs/coordination/src/catkinknot/coordination/_planner.py
@@ -239,6 +239,7 @@
         return PendingStep(
             state,
             ready_s,
+            due_s=now_s + view.job.due_ms(state.key.occurrence) / 1000 - self._clock.wall(),
             guaranteed=guaranteed,
             prospect=prospect,
             may_preempt=(guaranteed and now_s - ready_s >= URGENT_WAIT_S)
--- a/libs/packing/src/catkinknot/packing/_plan.py
+++ b/libs/packing/src/catkinknot/packing/_plan.py
@@ -41,7 +41,9 @@
 
     Attributes:
         state: State of the step and its tasks.
-        ready_s: When the step became ready, on the leader's clock.
+        ready_s: When this leader first saw the step ready, on the leader's clock.
+        due_s: When its occurrence of the job was due, on the leader's clock; None
+            stands for `ready_s`. Unlike `ready_s` it outlasts a change of leader.
         guaranteed: Whether the job is covered by its workspace's guarantee.
         prospect: Value that the step can still yield.
         may_preempt: Whether the step has waited long enough to preempt others.
@@ -52,6 +54,7 @@
 
     state: StepState
     ready_s: float
+    due_s: float | None = None
     guaranteed: bool = False
     prospect: ExpectedValue = ExpectedValue.IN_TIME
     may_preempt: bool = True
@@ -66,7 +69,7 @@
             self.prospect is ExpectedValue.NOTHING,
             self.state.job.policy.priority,
             self.prospect,
-            self.ready_s,
+            self.ready_s if self.due_s is None else self.due_s,
             str(self.state.key),
         )
 
@@ -245,7 +248,7 @@
     and the gang has to preempt them or never runs.
     """
     step, policy = pending_step.state.step, pending_step.state.job.policy
-    late = pending_step.prospect is not ExpectedValue.IN_TIME
+    late = pending_step.prospect is ExpectedValue.NOTHING
     if not step.gang or late or round_state.gang_count >= MAX_RESERVING_GANGS:
         return
     wanted = len(pending_step.state.waiting())
--- a/libs/packing/tests/test_plan.py
+++ b/libs/packing/tests/test_plan.py
@@ -114,6 +114,27 @@
             with self.subTest(seed=seed):
                 self.assertEqual(*rounds)
 
+    def test_small_tasks_leave_servers_to_a_late_gang(self) -> None:
+        """A large gang that can only end late still gets the servers that are free first.
+
+        Otherwise small tasks take each accelerator that becomes free, and the
+        largest jobs never run.
+        """
+        for prospect, left_to_gang in ((ExpectedValue.LATE, 2), (ExpectedValue.NOTHING, 0)):
+            with self.subTest(prospect=prospect.name):
+                capacities = [empty_server(f"s{n}") for n in range(6)]
+                for capacity in capacities:
+                    add_task(capacity, f"t{capacity.server}", 1, priority=2)
+                gang = state("a" * 16, 2, 8, priority=1, gang=True)
+                small = state("b" * 16, 60, 1, priority=2)
+                pending = [
+                    PendingStep(gang, 0.0, prospect=prospect, may_preempt=False),
+                    PendingStep(small, 0.0, may_preempt=False),
+                ]
+                ((_, placement),) = plan_placements(pending, capacities, 0.5)
+                unused = {c.server for c in capacities} - set(placement.places.values())
+                self.assertEqual(len(unused), left_to_gang)
+
     def test_a_gang_as_large_is_not_tried_again(self) -> None:
         """Twenty alike gangs that do not fit cost one search for servers, not twenty."""
         capacities = [empty_server(f"s{n}") for n in range(3)]
