--- a/libs/coordination/tests/test_leader.py
+++ b/libs/coordination/tests/test_leader.py
@@ -336,6 +336,78 @@
         self.assertEqual(self.first.phase("a" * 16), JobPhase.COMPLETED)
 
 
+class TestZoneCut(Base):
+    """Urgent gangs while the servers of a zone can't be reached."""
+
+    servers = 0
+    work_s = 30.0
+
+    def setUp(self) -> None:
+        """Create a zone of six servers, one of which has no runs, and one of two."""
+        super().setUp()
+        for n in range(6):
+            self.env.servers.add(f"cut{n}", CAPACITY, zone="cut", work_s=self.work_s)
+        for n in range(2):
+            self.env.servers.add(f"up{n}", CAPACITY, zone="up", work_s=self.work_s)
+        self.run_for(0.5)
+
+    def _cut(self, reachable: bool) -> None:
+        """Let all servers of the zone fall silent, or answer again."""
+        for n in range(6):
+            self.env.servers.by_id[f"cut{n}"].faults.drop_requests = not reachable
+
+    def test_no_gang_is_sent_into_the_cut(self) -> None:
+        """Once some servers of a zone are silent, idle ones of it get no urgent gang.
+
+        Its start would get no answer, and the gang would wait for the end of a
+        lease that was never granted before it can start elsewhere.
+        """
+        self.submit(job("a" * 16, step(7, gpu=8)))
+        self.run_for(1.0)
+        self._cut(reachable=False)
+        self.run_for(3.0)
+        idle = self._idle_server()
+        self.submit(job("b" * 16, step(2, gpu=4, gang=True), priority=0))
+        self.run_for(0.5)
+        runs = {
+            task
+            for view in self.first.leader.cluster.servers.values()
+            for task in view.runs
+            if view.listing.id == idle
+        }
+        self.assertEqual(runs, set())
+
+    def _idle_server(self) -> str:
+        """Return the only server without runs."""
+        (idle,) = (s.listing.id for s in self.env.servers.by_id.values() if not s.running())
+        return idle
+
+    def test_zone_is_used_again(self) -> None:
+        """One answer from the zone is enough for its servers to get work again."""
+        self.submit(job("a" * 16, step(7, gpu=8)))
+        self.run_for(1.0)
+        self._cut(reachable=False)
+        self.run_for(3.0)
+        self._cut(reachable=True)
+        self.run_for(2.0)
+        self.submit(job("b" * 16, step(1, gpu=8), priority=0))
+        self.run_for(1.0)
+        self.assertIn("b" * 16 + ".0.0.0", self.env.running())
+
+    def test_single_silent_servers(self) -> None:
+        """Servers that fall silent while others of their zone answer do not close the zone."""
+        self.submit(job("a" * 16, step(7, gpu=8)))
+        self.run_for(1.0)
+        idle = self._idle_server()
+        busy = [n for n in range(6) if f"cut{n}" != idle][:3]
+        for n in busy:
+            self.env.servers.by_id[f"cut{n}"].faults.drop_requests = True
+        self.run_for(3.0)
+        self.submit(job("b" * 16, step(1, gpu=8), priority=0))
+        self.run_for(1.0)
+        self.assertIn("b" * 16 + ".0.0.0", self.env.running())
+
+
 class TestDrainingServers(Base):
     """Eviction of runs from servers that shut down at short notice."""
 
--- a/standins/src/catkinknot_standins/_task_server.py
+++ b/standins/src/catkinknot_standins/_task_server.py
@@ -227,7 +227,15 @@
         self.unlisted: set[str] = set()
         self.forgotten: list[str] = []
 
-    def add(self, name: str, capacity: Resources, *, rack: str = "r1", **extra) -> TaskServer:
+    def add(
+        self,
+        name: str,
+        capacity: Resources,
+        *,
+        rack: str = "r1",
+        zone: str = "a",
+        **extra,
+    ) -> TaskServer:
         """Add a server; if one has this name already, it crashes and a new lifetime begins."""
         started_at_ms = int(self._clock.now() * 1000) + 1
         listing = Listing(
@@ -236,7 +244,7 @@
             started_at_ms=started_at_ms,
             address=f"{name}:1",
             service="render",
-            zone="a",
+            zone=zone,
             rack=rack,
             labels=frozenset({"kind", rack}),
             capacity=capacity,
