Answer a caller within a second when the store falls silent

Ruled out: a shorter time until the store counts as unavailable, as one read may take 0.8 s and a slow store would be refused. Change: while no read has been answered since the caller's first append, appends are repeated for a second at most. Reads are made each 0.4 s, so a store that is slow and not silent answers one. The slow store of the tests is now read during its appends, as it is by every instance.

--- a/libs/coordination/src/catkinknot/coordination/_job_service.py
+++ b/libs/coordination/src/catkinknot/coordination/_job_service.py
@@ -49,6 +49,12 @@
 STORE_UNAVAILABLE_S = 1.4
 """Time without an answer after which the store is unavailable; a read may take most of it."""
 
+MAX_SILENCE_S = 1.0
+"""Longest time for which an append is repeated while no read is answered either.
+
+A slow store answers some read within it.
+"""
+
 FIRST_ATTEMPT_MS = 200
 """Longest time that a caller has already waited if the call is its first attempt."""
 
@@ -260,8 +266,12 @@
                 reason = exc.message
                 uncertain = True
                 self._append_duration_s = max(self._append_duration_s, self._clock.now() - sent_s)
-                append_timeout_s = min(2 * append_timeout_s, MAX_APPEND_TIMEOUT_S)
                 end_s = self._retry_end_s(began_s, deadline_s)
+                append_timeout_s = min(
+                    2 * append_timeout_s,
+                    MAX_APPEND_TIMEOUT_S,
+                    max(end_s - self._clock.now() - RETRY_S, RETRY_S),
+                )
             if self._clock.now() + RETRY_S >= end_s:
                 return (Verdict.UNSURE if uncertain else Verdict.REFUSED), reason
             self._clock.sleep(RETRY_S)
@@ -270,7 +280,10 @@
         """Return the time until which an append without an answer is repeated."""
         if self._store_unavailable():
             return min(deadline_s, began_s + UNRESPONSIVE_STORE_TIMEOUT_S)
-        return deadline_s - ANSWER_MARGIN_S
+        end_s = deadline_s - ANSWER_MARGIN_S
+        if self._tail.last_response_s < began_s:
+            end_s = min(end_s, began_s + MAX_SILENCE_S)
+        return end_s
 
     def _read_updates(self, job_id: str) -> None:
         """Read the ledger's new records before a job is shown as not ended.
--- a/libs/coordination/src/catkinknot/coordination/_recorder.py
+++ b/libs/coordination/src/catkinknot/coordination/_recorder.py
@@ -25,6 +25,9 @@
 FIRST_APPEND_TIMEOUT_S = 0.6
 """Timeout of the first append; it doubles after each append without an answer."""
 
+STOP_POLL_S = 0.5
+"""Longest wait for a record until the end of the leadership is noticed."""
+
 SLOW_APPEND_S = 0.1
 """Duration of an append above which the store counts as slow."""
 
@@ -126,9 +129,9 @@
         """
         while not stopped.is_set() and not self.fenced:
             with self._cond:
-                idle_s = self._leader_record_at_s + LEADER_RECORD_INTERVAL_S - self._clock.now()
-                if not self._pending(topic) and (topic == RUNS or idle_s > 0):
-                    self._cond.wait(LEADER_RECORD_INTERVAL_S if topic == RUNS else idle_s)
+                idle_s = self._idle_s(topic)
+                if idle_s > 0:
+                    self._cond.wait(idle_s)
             self._flush_topic(topic, stopped)
             if topic == JOBS and self._phases_deferred():
                 stopped.wait(RETRY_S)
@@ -179,9 +182,13 @@
             and self._clock.now() - self._phases_written_s < SLOW_BATCH_INTERVAL_S
         )
 
-    def _pending(self, topic: str) -> bool:
-        """Return whether a topic has records to write, or callbacks to run."""
-        return bool(self._dirty[topic] or (topic == RUNS and self._callbacks))
+    def _idle_s(self, topic: str) -> float:
+        """Return how long there is nothing to write to a topic, unless a record is queued."""
+        if self._dirty[topic] or (topic == RUNS and self._callbacks):
+            return 0.0
+        if topic == RUNS:
+            return STOP_POLL_S
+        return self._leader_record_at_s + LEADER_RECORD_INTERVAL_S - self._clock.now()
 
     def _append(self, topic: str, records: list[Record], stopped: threading.Event) -> bool:
         """Append one batch, repeatedly until its outcome is known."""
--- a/libs/coordination/tests/test_job_service.py
+++ b/libs/coordination/tests/test_job_service.py
@@ -4,7 +4,7 @@
 
 from stepping import STEP_S, Environment, Instance, job, run_for, step
 
-from catkinknot.coordination import Answer, Verdict
+from catkinknot.coordination import Answer, Tail, Verdict
 from catkinknot.coordination.exceptions import StoreSilentError
 from catkinknot.jobs import JobPhase
 from catkinknot_standins import StoreView
@@ -14,19 +14,22 @@
 
 
 class SlowStore(StoreView):
-    """Store that answers appends slowly and reads at once."""
+    """Store that answers appends slowly and reads at once, or not at all."""
 
-    def __init__(self, env: Environment, answer_s: float) -> None:
-        """Create a store whose appends take `answer_s`."""
+    def __init__(self, env: Environment, answer_s: float, *, tail: Tail | None) -> None:
+        """Create a store whose appends take `answer_s`; `tail` reads during each of them."""
         super().__init__(env.store)
         self._clock = env.clock
         self._answer_s = answer_s
+        self._tail = tail
         self.appends = 0
 
     def append(self, topic, records, *, fence=None, only_at=None, timeout_s=None) -> int:
         """Advance the clock by the duration of the append or its timeout."""
         self.appends += 1
         self._clock.advance(min(self._answer_s, timeout_s))
+        if self._tail is not None:
+            self._tail.step()
         if timeout_s < self._answer_s:
             raise StoreSilentError("no answer")
         return super().append(topic, records, fence=fence, only_at=only_at)
@@ -185,23 +188,41 @@
         appends lengthen the queue of the store, and uses up its attempts at
         every instance.
         """
-        slow = SlowStore(self.env, answer_s=1.0)
+        slow = SlowStore(self.env, answer_s=1.0, tail=self.here.tail)
         self.job_service._store = slow
         self.here.tail._store = slow
+        self.env.clock.advance(0.3)
         answer = self.job_service.submit(job(ID), self.env.clock.now() + 2.9)
         self.assertEqual(answer.verdict, Verdict.ACCEPTED)
         self.assertLessEqual(slow.appends, 2)
 
     def test_deadline_on_a_slow_store(self) -> None:
         """A caller is answered at its deadline that the outcome is unknown."""
-        slow = SlowStore(self.env, answer_s=4.0)
+        slow = SlowStore(self.env, answer_s=4.0, tail=self.here.tail)
         self.job_service._store = slow
         self.here.tail._store = slow
+        self.env.clock.advance(0.3)
         began_s = self.env.clock.now()
         answer = self.job_service.submit(job(ID), began_s + 1.0)
         self.assertEqual(answer.verdict, Verdict.UNSURE)
         self.assertLessEqual(self.env.clock.now(), began_s + 1.0 + STEP_S)
 
+    def test_store_falls_silent(self) -> None:
+        """A caller at the beginning of an outage is answered within a third of its time.
+
+        The store answers neither appends nor reads, but has not been silent for
+        long enough to count as unavailable. The caller needs the rest of its time
+        to come back.
+        """
+        silent = SlowStore(self.env, answer_s=60.0, tail=None)
+        self.job_service._store = silent
+        self.env.clock.advance(0.3)
+        began_s = self.env.clock.now()
+        answer = self.job_service.submit(job(ID), began_s + 2.95)
+        self.assertEqual(answer.verdict, Verdict.UNSURE)
+        self.assertGreater(answer.retry_after_s, 0)
+        self.assertLessEqual(self.env.clock.now(), began_s + 1.0)
+
     def test_count(self) -> None:
         """Jobs that have not begun are counted, running and cancelled jobs are not."""
         queued_jobs = [job(f"{i:016x}", step(2, gpu=8)) for i in range(3)]
