Let the leader outlast an outage of the store, and complete a claim that was made

All instances found the leadership vacant at once, past every turn of succession; a small one claimed epoch 2 at 36.8 s, its append to the topic of runs got no answer in 0.6 s, and it gave up. Nobody led until 39.2 s, proofs of these seconds started after 2.2 to 11 s (median by two seconds), and all runs were asked for anew. Ruled out: the deposed leader itself (it had lost no lease and held its epoch); a longer timeout of elections, which every loss of a leader would pay. Change: when the store answers a follower after more than 0.8 s, the leader gets 1.2 s to renew its record. The leader repeats an append each 0.65 s while the store answers no reads either, and doubles the timeout only for a slow store. A claimed epoch is announced to the topic of runs again until it is stored or the claim has timed out. Two tests of elections advanced the clock by seconds without a read, which is now what a silent store looks like; their followers read each 0.4 s or less, as instances do, and check more.

--- a/app/src/catkinknot/node/_node.py
+++ b/app/src/catkinknot/node/_node.py
@@ -249,6 +249,7 @@
             calls=self.servers,
             config=self.config.get,
             clock=self.clock,
+            answered_s=lambda: self.jobs_tail.last_response_s,
         )
 
     def _apply_snapshot(self, records: dict[str, bytes]) -> None:
--- a/libs/coordination/src/catkinknot/coordination/_election.py
+++ b/libs/coordination/src/catkinknot/coordination/_election.py
@@ -14,7 +14,7 @@
 from ._recorder import LEAD_KEY, PRODUCER, make_leader_record
 from ._store import JOBS, RUNS, Fence, Record, Store
 from ._tail import Tail
-from .exceptions import StoreError
+from .exceptions import StoreError, StoreRefusedError, StoreSilentError
 
 __all__ = ["Election"]
 
@@ -30,6 +30,12 @@
 MAX_STORE_SILENCE_S = 0.8
 """Longest time since the last answer of the store for a candidate to claim."""
 
+RETURN_GRACE_S = 1.2
+"""Time that a leader gets to renew its record after the store has been silent."""
+
+FENCE_RETRY_S = 0.1
+"""Pause before a claimed epoch is announced to the topic of runs again."""
+
 SUCCESSION_STEP_S = 0.1
 """Time by which each rank claims after the one before, enough to read an earlier claim."""
 
@@ -83,6 +89,7 @@
         self._make_leader = make_leader
         self._rank = rank
         self._vacant_at_s = clock.now() + STARTUP_ELECTION_TIMEOUT_S
+        self._answered_s: float | None = None
         self._nonce = ""
         self._resigned = threading.Event()
         self._log = logger.bind(part="election")
@@ -141,6 +148,7 @@
     def _leadership_vacant(self) -> bool:
         """Return whether no leader renews its record although the store answers."""
         now_s = self._clock.now()
+        self._note_silence()
         if (
             self._tail.next_offset is None
             or now_s - self._tail.last_response_s > MAX_STORE_SILENCE_S
@@ -148,6 +156,19 @@
             return False
         return now_s > self._vacant_at_s + self._succession_delay_s()
 
+    def _note_silence(self) -> None:
+        """Give the leader time to renew its record if the store has been silent.
+
+        It could not renew it meanwhile, nor could this instance have read it.
+        """
+        if self._tail.next_offset is None:
+            return
+        answered_s = self._tail.last_response_s
+        silent_s = 0.0 if self._answered_s is None else answered_s - self._answered_s
+        self._answered_s = answered_s
+        if silent_s > MAX_STORE_SILENCE_S:
+            self._vacant_at_s = max(self._vacant_at_s, answered_s + RETURN_GRACE_S)
+
     def _succession_delay_s(self) -> float:
         """Return how long this instance leaves a vacant leadership to others.
 
@@ -186,12 +207,26 @@
         if self._nonce != nonce:
             return None
         runs_number = secrets.randbelow(MAX_FIRST_NUMBER)
-        self._store.append(
-            RUNS, [Record(LEAD_KEY, leader_record.value)], fence=Fence(PRODUCER, epoch, runs_number)
-        )
+        self._fence_runs(Fence(PRODUCER, epoch, runs_number), leader_record.value)
         self._log.bind(epoch=epoch).info("This instance has claimed the leadership.")
         return Claim(epoch, nonce, sent_s, {JOBS: number + 1, RUNS: runs_number + 1})
 
+    def _fence_runs(self, fence: Fence, value: bytes) -> None:
+        """Fence earlier leaders in the topic of runs; raises a `StoreError`.
+
+        The epoch has been claimed, so nobody else leads until this is done or
+        the claim has timed out.
+        """
+        end_s = self._clock.now() + ELECTION_TIMEOUT_S
+        while True:
+            try:
+                self._store.append(RUNS, [Record(LEAD_KEY, value)], fence=fence)
+                return
+            except (StoreRefusedError, StoreSilentError):
+                if self._clock.now() + FENCE_RETRY_S >= end_s:
+                    raise
+            self._clock.sleep(FENCE_RETRY_S)
+
     def _lead(self, claim: Claim, stopped: threading.Event) -> None:
         """Lead until deposed or stopped."""
         leader = self._make_leader(claim)
--- a/libs/coordination/src/catkinknot/coordination/_leader.py
+++ b/libs/coordination/src/catkinknot/coordination/_leader.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Iterable
 from contextlib import contextmanager
 from dataclasses import dataclass
+from math import inf
 
 from loguru import logger
 
@@ -74,6 +75,7 @@
         calls: ServerCalls,
         config: Callable[[], Configuration | None],
         clock: Clock,
+        answered_s: Callable[[], float] = lambda: inf,
     ) -> None:
         """Create the leader for a claim; use `lead` to run it.
 
@@ -86,6 +88,7 @@
             calls: Client for the servers.
             config: Returns the configuration in force.
             clock: Source of time.
+            answered_s: Returns when the store last answered a read of this instance.
         """
         self._claim = claim
         self._instance = instance
@@ -103,6 +106,7 @@
             first_numbers=claim.numbers,
             confirmed_s=claim.sent_s,
             clock=clock,
+            answered_s=answered_s,
         )
         self._orders = OrderSender(
             calls,
--- a/libs/coordination/src/catkinknot/coordination/_recorder.py
+++ b/libs/coordination/src/catkinknot/coordination/_recorder.py
@@ -3,6 +3,7 @@
 import json
 import threading
 from collections.abc import Callable
+from math import inf
 
 from loguru import logger
 
@@ -23,7 +24,7 @@
 """Pause before a failed append is sent again."""
 
 FIRST_APPEND_TIMEOUT_S = 0.6
-"""Timeout of the first append; it doubles after each append without an answer."""
+"""Timeout of the first append; it doubles after each one that a slow store did not answer."""
 
 STOP_POLL_S = 0.5
 """Longest wait for a record until the end of the leadership is noticed."""
@@ -72,6 +73,7 @@
         first_numbers: dict[str, int],
         confirmed_s: float,
         clock: Clock,
+        answered_s: Callable[[], float] = lambda: inf,
     ) -> None:
         """Create the recorder of an accepted claim.
 
@@ -83,8 +85,10 @@
             first_numbers: Next sequence number, by topic.
             confirmed_s: When the claim was sent.
             clock: Source of time.
+            answered_s: Returns when the store last answered a read.
         """
         self._store = store
+        self._answered_s = answered_s
         self._epoch = epoch
         self._leader_record = make_leader_record(epoch, instance, nonce)
         self._resignation = make_leader_record(epoch, instance, nonce, resigned=True)
@@ -208,7 +212,9 @@
                 self._log.bind(topic=topic, reason=exc.message).debug(
                     "An append failed and is sent again."
                 )
-                if isinstance(exc, StoreSilentError):
+                if isinstance(exc, StoreSilentError) and self._answered_s() >= sent_s:
+                    # The store is slow. A silent one may return at any time, and a
+                    # long wait for the lost append would delay the next one.
                     append_timeout_s = min(2 * append_timeout_s, MAX_APPEND_TIMEOUT_S)
                 stopped.wait(RETRY_S)
                 continue
--- a/libs/coordination/tests/test_leader.py
+++ b/libs/coordination/tests/test_leader.py
@@ -8,6 +8,7 @@
 
 from catkinknot.coordination import JOBS, RUNS, Verdict
 from catkinknot.coordination._watch import needs_watch
+from catkinknot.coordination.exceptions import StoreRefusedError, StoreSilentError
 from catkinknot.jobs import JobPhase, Resources, RunOutcome
 
 DEADLINE_S = 1e9
@@ -548,9 +549,62 @@
         """
         fresh = Instance(self.env, "fresh")
         self.assertFalse(fresh.election._leadership_vacant())
-        self.env.clock.advance(1.2)
-        fresh.tail.catch_up()
-        self.assertTrue(fresh.election._leadership_vacant())
+        for _ in range(3):
+            self.env.clock.advance(0.4)
+            fresh.tail.catch_up()
+            vacant = fresh.election._leadership_vacant()
+        self.assertTrue(vacant)
+
+    def _poll_for(self, seconds: float, *, read: bool) -> list[bool]:
+        """Let the second instance look for a leader each tenth of a second."""
+        vacant = []
+        for _ in range(round(seconds * 10)):
+            self.env.clock.advance(0.1)
+            if read:
+                self.second.tail.catch_up()
+            vacant.append(self.second.election._leadership_vacant())
+        return vacant
+
+    def test_leader_outlasts_a_silent_store(self) -> None:
+        """After an outage of the store the leader gets time to renew its record.
+
+        Otherwise every instance claims as soon as the store is back, the leader
+        is deposed, and its runs are asked for by a successor that begins anew.
+        """
+        self.run_for(1.0)
+        self._poll_for(0.3, read=True)
+        self.assertFalse(any(self._poll_for(5.5, read=False)))
+        self.assertFalse(any(self._poll_for(1.0, read=True)))
+        self.first.leader.recorder.flush_topic(JOBS, self.first.not_stopped)
+        self.assertFalse(any(self._poll_for(1.4, read=True)))
+
+    def test_leader_lost_during_an_outage_of_the_store(self) -> None:
+        """A leader that does not renew its record after an outage is replaced soon."""
+        self.run_for(1.0)
+        self._poll_for(0.3, read=True)
+        self._poll_for(5.5, read=False)
+        self.assertTrue(any(self._poll_for(1.5, read=True)))
+
+    def test_claim_survives_a_busy_topic_of_runs(self) -> None:
+        """A claimed epoch is announced to the topic of runs until it is stored.
+
+        A claim that is abandoned half-way leaves nobody leading until another
+        instance has waited for the timeout of a lost leader.
+        """
+        self.second.tail.catch_up()
+        self.second.election._vacant_at_s = float("-inf")
+        append, fenced = self.second.store.append, []
+
+        def append_third_time(topic, records, **conditions) -> int:
+            if topic == RUNS:
+                fenced.append(conditions["fence"])
+                if len(fenced) < 3:
+                    raise (StoreSilentError, StoreRefusedError)[len(fenced) % 2]("busy")
+            return append(topic, records, **conditions)
+
+        self.second.store.append = append_third_time
+        self.assertIsNotNone(self.second.election._claim())
+        self.assertEqual(len(set(fenced)), 1)
 
     def test_resigned_leader_is_replaced(self) -> None:
         """After a resignation another instance leads at once, and the resigned one never again."""
@@ -574,7 +628,11 @@
         followers = [self.second, *(Instance(self.env, f"f{n}") for n in range(30))]
         for rank, follower in enumerate(followers):
             follower.rank = rank if rank < 25 else None
-        self.run_for(2.0)
+        for _ in range(5):
+            self.run_for(0.4)
+            for follower in followers:
+                follower.tail.catch_up()
+                self.assertFalse(follower.election._leadership_vacant())
         self.first.leader.resign()
         self.first._flush()
         self.assertTrue(self.first.leader.recorder.resigned.is_set())
@@ -587,7 +645,8 @@
             self.env.clock.advance(0.1)
             for follower in followers:
                 follower.tail.catch_up()
-        self.assertTrue(all(f.election._leadership_vacant() for f in followers))
+            vacant = [follower.election._leadership_vacant() for follower in followers]
+        self.assertTrue(all(vacant))
 
     def test_resignation_is_not_deferred(self) -> None:
         """A resignation is written at once also while phases wait for a slow store."""
--- a/libs/coordination/tests/test_recorder.py
+++ b/libs/coordination/tests/test_recorder.py
@@ -7,6 +7,7 @@
 from catkinknot.coordination import JOBS, RUNS, Record
 from catkinknot.coordination._recorder import LEAD_KEY, LEADER_RECORD_INTERVAL_S, PRODUCER, Recorder
 from catkinknot.coordination._store import Fence
+from catkinknot.coordination.exceptions import StoreSilentError
 from catkinknot.model import SteppedClock
 from catkinknot_standins import KeyedStore, StoreView
 
@@ -148,6 +149,29 @@
         }
         self.assertEqual({key.partition(".")[0] + "/s" for key in changed}, written - {LEAD_KEY})
 
+    def test_timeouts_while_the_store_is_silent(self) -> None:
+        """A silent store is tried at short intervals; a slow one gets time to answer.
+
+        The leader has to renew its record soon after an outage, or it is deposed.
+        """
+        for answered_s, expected_s in ((0.0, [0.6] * 4), (1e9, [0.6, 1.2, 2.4, 2.4])):
+            with self.subTest(answered_s=answered_s):
+                timeouts_s: list[float] = []
+
+                def append(topic, records, *, fence=None, timeout_s=None, seen=timeouts_s) -> int:
+                    seen.append(timeout_s)
+                    self.clock.advance(timeout_s)
+                    if len(seen) == 4:
+                        self.not_stopped.set()
+                    raise StoreSilentError("no answer")
+
+                self.not_stopped.clear()
+                self.view.append = append
+                self.recorder._answered_s = lambda value=answered_s: value
+                self.recorder.put(RUNS, "a.0.0", b"r")
+                self.recorder.flush_topic(RUNS, self.not_stopped)
+                self.assertEqual(timeouts_s, expected_s)
+
     def test_leader_record_while_phases_are_batched(self) -> None:
         """Batching of phases never delays the leader record."""
         self.view.answer_s = 0.18
