Keep the least headroom clear of resumable work too

Proofs that had to stop others waited 0.4 s and another 0.3 to 0.5 s for the stops, and have 0.75 s if they run for a second. Change: the least share of the headroom, 15 % of the accelerators, is kept clear of resumable runs; only what exceeds it is open to them.

--- a/libs/coordination/src/catkinknot/coordination/_planner.py
+++ b/libs/coordination/src/catkinknot/coordination/_planner.py
@@ -16,6 +16,7 @@
     ServerCapacity,
     guaranteed_jobs,
     plan_placements,
+    select_clear,
     select_headroom,
 )
 
@@ -121,9 +122,9 @@
             if not pending_steps:
                 return
             capacities = [view.room for view in cluster.servers.values()]
-            headroom = self._reserve_headroom(capacities, pending_steps)
+            headroom, clear = self._reserve_headroom(capacities, pending_steps)
             chosen = plan_placements(
-                pending_steps, capacities, self._clock.now(), urgent_only=headroom
+                pending_steps, capacities, self._clock.now(), urgent_only=headroom, clear=clear
             )
             for pending_step, placement in chosen:
                 self._apply_placement(pending_step, placement)
@@ -172,9 +173,10 @@
 
     def _reserve_headroom(
         self, capacities: list[ServerCapacity], pending_steps: list[PendingStep]
-    ) -> frozenset[str]:
-        """Return the servers of each pool that are reserved for urgent work."""
+    ) -> tuple[frozenset[str], frozenset[str]]:
+        """Return the servers reserved for urgent work, and those kept clear of resumable work."""
         headroom: set[str] = set()
+        clear: set[str] = set()
         pools: dict[str, list[ServerCapacity]] = defaultdict(list)
         for capacity in capacities:
             if capacity.schedulable:
@@ -182,8 +184,10 @@
         for service, members in pools.items():
             demand = self._demand.setdefault(service, Demand())
             demand.record(self._clock.now(), _urgent_accelerators(service, members, pending_steps))
-            headroom |= select_headroom(members, demand.peak)
-        return frozenset(headroom)
+            reserved = select_headroom(members, demand.peak)
+            headroom |= reserved
+            clear |= select_clear(members, reserved)
+        return frozenset(headroom), frozenset(clear)
 
     def _mark_guaranteed(self, guaranteed_ids: set[str]) -> None:
         """Mark the running tasks that are covered by the guarantee of their workspace."""
--- a/libs/packing/src/catkinknot/packing/__init__.py
+++ b/libs/packing/src/catkinknot/packing/__init__.py
@@ -1,7 +1,7 @@
 """Choose servers for tasks by processor, memory and accelerators."""
 
 from ._capacity import Occupant, ServerCapacity
-from ._headroom import Demand, select_headroom
+from ._headroom import Demand, select_clear, select_headroom
 from ._place import OccupantGroups, Placement, Request, place, place_by_preemption
 from ._plan import ExpectedValue, PendingStep, guaranteed_jobs, plan_placements
 
@@ -18,5 +18,6 @@
     "place",
     "place_by_preemption",
     "plan_placements",
+    "select_clear",
     "select_headroom",
 ]
--- a/libs/packing/src/catkinknot/packing/_headroom.py
+++ b/libs/packing/src/catkinknot/packing/_headroom.py
@@ -7,13 +7,17 @@
 
 from ._capacity import ServerCapacity
 
-__all__ = ["Demand", "is_half_used", "select_headroom"]
+__all__ = ["Demand", "is_half_used", "select_clear", "select_headroom"]
 
 DEMAND_WINDOW_S = 20.0
 """Length of the sliding window over which the peak of urgent demand is taken."""
 
 MIN_HEADROOM_SHARE = 0.15
-"""Least share of all accelerators that is reserved for urgent work."""
+"""Least share of all accelerators that is reserved for urgent work.
+
+So much is also kept free of resumable runs: a stop takes a few tenths of a
+second, which short urgent jobs don't have.
+"""
 
 MAX_HEADROOM_SHARE = 0.4
 """Largest share that is reserved for urgent work; other work always has the rest."""
@@ -73,6 +77,26 @@
     return selected
 
 
+def select_clear(capacities: Iterable[ServerCapacity], headroom: set[str]) -> set[str]:
+    """Return the servers of the headroom on which no resumable run may start either.
+
+    Args:
+        capacities: The servers of one pool.
+        headroom: Servers that are reserved for urgent work.
+    """
+    members = list(capacities)
+    remaining = MIN_HEADROOM_SHARE * sum(capacity.capacity.accelerators for capacity in members)
+    reserved = [capacity for capacity in members if capacity.server in headroom]
+    selected = set()
+    for capacity in sorted(reserved, key=lambda c: (-c.free().accelerators, c.rack, c.server)):
+        free = capacity.free().accelerators
+        if not 0 < free <= remaining:
+            break
+        selected.add(capacity.server)
+        remaining -= free
+    return selected
+
+
 def is_half_used(capacities: Iterable[ServerCapacity]) -> bool:
     """Return whether at least half of a pool's processors, memory or accelerators is used."""
     total, used = Resources(), Resources()
--- a/libs/packing/src/catkinknot/packing/_plan.py
+++ b/libs/packing/src/catkinknot/packing/_plan.py
@@ -103,6 +103,7 @@
     now_s: float,
     *,
     urgent_only: frozenset[str] = frozenset(),
+    clear: frozenset[str] | None = None,
 ) -> list[tuple[PendingStep, Placement]]:
     """Choose servers for pending steps, the most urgent first.
 
@@ -114,10 +115,13 @@
         pending: The pending steps.
         capacities: All servers.
         now_s: The present time.
-        urgent_only: Servers on which only urgent work may start.
+        urgent_only: Servers on which only urgent work may start, or work that saves
+            its state when it is stopped.
+        clear: Those of them on which only urgent work may start, by default all.
     """
     placements = []
-    round_state = _RoundState(OccupantGroups(capacities), urgent_only)
+    clear = urgent_only if clear is None else clear
+    round_state = _RoundState(OccupantGroups(capacities), urgent_only, clear)
     for pending_step in sorted(pending, key=lambda candidate: candidate.order):
         placement = _find_placement(pending_step, capacities, now_s, round_state)
         if placement is None:
@@ -134,7 +138,8 @@
 
     Attributes:
         groups: All occupants, by the group that is preempted together.
-        urgent_only: Servers on which only urgent work may start.
+        urgent_only: Servers on which only urgent or resumable work may start.
+        clear: Servers on which only urgent work may start.
         victim_searches: How many searches for victims were made.
         unplaceable: Kinds of tasks that fit on no server; free capacity only
             shrinks during a round.
@@ -150,6 +155,7 @@
 
     groups: OccupantGroups
     urgent_only: frozenset[str]
+    clear: frozenset[str]
     victim_searches: int = 0
     unplaceable: set[tuple] = field(default_factory=set)
     failed_gangs: dict[tuple, int] = field(default_factory=dict)
@@ -225,10 +231,11 @@
     """
     step, service = pending_step.state.step, pending_step.state.job.policy.service
     priority = pending_step.state.job.policy.priority
+    closed = round_state.clear if step.checkpoints else round_state.urgent_only
     unreserved = [
         capacity
         for capacity in capacities
-        if (step.checkpoints or capacity.server not in round_state.urgent_only)
+        if capacity.server not in closed
         and round_state.gang_reserved.get(capacity.server, priority) >= priority
     ]
     min_slots = len(pending_step.state.waiting()) if step.gang else 1
--- a/libs/packing/tests/test_headroom.py
+++ b/libs/packing/tests/test_headroom.py
@@ -5,7 +5,13 @@
 from test_plan import CAPACITY, add_task, empty_server, state
 
 from catkinknot.jobs import Resources
-from catkinknot.packing import Demand, PendingStep, plan_placements, select_headroom
+from catkinknot.packing import (
+    Demand,
+    PendingStep,
+    plan_placements,
+    select_clear,
+    select_headroom,
+)
 
 
 def fleet(racks: int, servers: int) -> list:
@@ -92,12 +98,15 @@
         self.assertEqual(gang.victims, set())
 
     def test_waiting_work_after_a_burst_of_proofs(self) -> None:
-        """Servers kept clear after a burst run tasks that lose nothing when they are stopped.
+        """Most servers kept for urgent work run tasks that lose nothing when they are stopped.
 
-        Otherwise a third of the fleet stands empty while small tasks wait.
+        Otherwise a third of the fleet stands empty after a burst while small
+        tasks wait. The least share stays free for short urgent jobs.
         """
         capacities = fleet(4, 6)
         reserved = frozenset(select_headroom(capacities, 64))
+        clear = frozenset(select_clear(capacities, reserved))
+        self.assertEqual(len(clear), 3)
         for capacity in capacities:
             if capacity.server not in reserved:
                 add_task(capacity, f"x{capacity.server}", 8, priority=1)
@@ -105,11 +114,28 @@
             PendingStep(state("a" * 16, 40, 1, priority=2), 0.0, may_preempt=False),
             PendingStep(state("b" * 16, 40, 1, priority=2, checkpoints=True), 0.0),
         ]
-        ((chosen, placement),) = plan_placements(checks, capacities, 5.0, urgent_only=reserved)
+        ((chosen, placement),) = plan_placements(
+            checks, capacities, 5.0, urgent_only=reserved, clear=clear
+        )
         self.assertTrue(chosen.state.step.checkpoints)
         self.assertEqual(len(placement.places), 40)
+        self.assertLessEqual(set(placement.places.values()), reserved - clear)
         self.assertEqual(placement.victims, set())
 
+    def test_servers_stay_clear_until_urgent_work_uses_them(self) -> None:
+        """Only free servers count as clear, not those that resumable or urgent work uses."""
+        capacities = fleet(4, 6)
+        reserved = select_headroom(capacities, 64)
+        first = select_clear(capacities, reserved)
+        for capacity in capacities:
+            if capacity.server in reserved - first:
+                add_task(capacity, f"x{capacity.server}", 8, resumable=True)
+        self.assertEqual(select_clear(capacities, reserved), first)
+        for capacity in capacities:
+            if capacity.server in reserved and capacity.server in first:
+                add_task(capacity, f"u{capacity.server}", 8, priority=0)
+        self.assertEqual(select_clear(capacities, reserved), set())
+
     def test_resumable_work_counts_as_clear(self) -> None:
         """Resumable tasks on the servers kept clear do not make the planner clear others."""
         capacities = fleet(4, 6)
