--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -3,11 +3,21 @@
 import json
 import tempfile
 import unittest
+from dataclasses import replace
 from pathlib import Path
 
+from catkinknot.jobs import Resources
 from catkinknot.model import ResultCode
 from catkinknot.model.exceptions import BadInputError
-from catkinknot_standins.lab import compare, draw_arrivals, load_experiment, play_day, summarize
+from catkinknot_standins.lab import (
+    bound_credit,
+    compare,
+    draw_arrivals,
+    load_experiment,
+    play_day,
+    summarize,
+)
+from catkinknot_standins.lab._arrivals import START_S
 
 ROOT = Path(__file__).resolve().parent.parent
 KIND = {
@@ -55,6 +65,47 @@
         self.assertFalse(any(step.one_rack for step in wide))
         self.assertTrue(all(step.one_rack for step in steps if step not in wide))
 
+    def _same_jobs(self, experiment, jobs: int, **step):
+        """Return equal jobs that all arrive at the beginning of the day."""
+        first = draw_arrivals(experiment, 1)[0]
+        changed = replace(first.job.steps[0], **step)
+        job = replace(first.job, steps=(changed,))
+        return [replace(first, at_s=START_S, job=job, run_s=1.0)] * jobs
+
+    def test_bound_of_a_crowd(self) -> None:
+        """Of four jobs that each need the whole fleet, as many earn all as fit in the objective.
+
+        Each runs for 1 s and has an objective of 3 s, so three are in time and
+        the fourth earns its late credit.
+        """
+        experiment = self._load(SMALL | {"bursts": []})
+        need = Resources(1000, 1000, 8)
+        jobs = self._same_jobs(experiment, 4, count=4, need=need)
+        bound = bound_credit(experiment, jobs, whole_servers=True)
+        late = jobs[0].late_worth / jobs[0].worth
+        self.assertAlmostEqual(bound.share, (3 + late) / 4, places=6)
+
+    def test_bound_of_fragments(self) -> None:
+        """Two tasks of more than half a server take two servers, though the rest stays unused."""
+        experiment = self._load(SMALL | {"bursts": []})
+        jobs = self._same_jobs(experiment, 4, count=4, need=Resources(1000, 1000, 5))
+        joined = bound_credit(experiment, jobs, whole_servers=False)
+        whole = bound_credit(experiment, jobs, whole_servers=True)
+        self.assertAlmostEqual(joined.share, 1.0, places=6)
+        self.assertLess(whole.share, 1.0)
+
+    def test_no_day_earns_more_than_its_bound(self) -> None:
+        """A played day earns at most the bound, for several seeds of a crowded fleet."""
+        kinds = [KIND | {"name": name, "per_s": 6.0, "accelerators": [4, 8]} for name in "ab"]
+        experiment = self._load(SMALL | {"kinds": kinds, "bursts": []})
+        for seed in range(1, 6):
+            with self.subTest(seed=seed):
+                arrivals = draw_arrivals(experiment, seed)
+                bound = bound_credit(experiment, arrivals, whole_servers=True)
+                day = play_day(experiment, seed)
+                self.assertLess(bound.share, 1.0)
+                self.assertLessEqual(day.share, bound.share + 1e-6)
+
     def test_invalid_experiments(self) -> None:
         """An invalid file gives an error with a code that names the field."""
         cases = {
