Show where a job's time went in `explain`

Cause: on-call engineers had to subtract times of lines by hand to see whether a late job waited for an answer, a place, the record of its runs or the work itself. Change: the second row gives the first time of each stage in milliseconds since the job's first line, in the order of their times, as stages may be logged out of order by different processes while the store is slow; `--json` has them too.

--- a/app/src/catkinknot/node/_explain.py
+++ b/app/src/catkinknot/node/_explain.py
@@ -11,6 +11,15 @@
 CONTEXT_BEFORE_S = 5.0
 """Time before a job's first line from which warnings and errors are included."""
 
+_STAGES = (
+    ("A submit was answered.", "first answered"),
+    ("A step gets servers.", "placed"),
+    ("A start was sent.", "start sent"),
+    ("A run has ended.", "first run ended"),
+    ("A job has ended.", "ended"),
+)
+"""Texts of the lines at which a job reaches a stage for the first time, and the stages."""
+
 _HEADER_FIELDS = ("time", "level", "instance", "text", "part")
 
 
@@ -33,6 +42,20 @@
     inputs: dict[str, object]
 
 
+@dataclass(frozen=True, slots=True)
+class Stage:
+    """Stage that a job has reached.
+
+    Attributes:
+        name: Name of the stage.
+        since_first_ms: Time since the job's first line, in milliseconds. Stages
+            logged by different processes are as exact as their clocks.
+    """
+
+    name: str
+    since_first_ms: int
+
+
 @dataclass(slots=True)
 class JobTimeline:
     """Log lines about one job, in the order of their times.
@@ -40,18 +63,23 @@
     Attributes:
         job: Id of the job.
         lines: Every line that names the job.
+        stages: Stages that the job has reached, in the order of their times.
         around: Warnings and errors of the same period that do not name the job.
         missing: Descriptions of expected lines that the logs lack.
     """
 
     job: str
     lines: list[LogLine] = field(default_factory=list)
+    stages: list[Stage] = field(default_factory=list)
     around: list[LogLine] = field(default_factory=list)
     missing: list[str] = field(default_factory=list)
 
     def text(self) -> str:
         """Return the timeline as text, with ! before warnings and ? before missing lines."""
         rows = [f"job {self.job}: {len(self.lines)} lines"]
+        if self.stages:
+            reached = (f"{stage.name} {stage.since_first_ms} ms" for stage in self.stages)
+            rows.append(f"  since the first line: {', '.join(reached)}")
         around_ids = {id(line) for line in self.around}
         for line in sorted([*self.lines, *self.around], key=lambda line: line.time):
             mark = "!" if id(line) in around_ids else " "
@@ -64,6 +92,7 @@
         """Return the timeline as an object that can be written as JSON."""
         return {
             "job": self.job,
+            "stages_ms": {stage.name: stage.since_first_ms for stage in self.stages},
             "lines": [_as_dict(line) for line in self.lines],
             "around": [_as_dict(line) for line in self.around],
             "missing": self.missing,
@@ -114,6 +143,7 @@
     if not timeline.lines:
         timeline.missing.append("no process has logged this job; was it ever submitted?")
         return timeline
+    timeline.stages = _find_stages(timeline.lines)
     first = _seconds(timeline.lines[0]) - CONTEXT_BEFORE_S
     last = _seconds(timeline.lines[-1])
     timeline.around = [
@@ -134,6 +164,17 @@
     return timeline
 
 
+def _find_stages(lines: list[LogLine]) -> list[Stage]:
+    """Return when a job first reached each stage, from its lines in order of time."""
+    names = dict(_STAGES)
+    reached: dict[str, LogLine] = {}
+    for line in lines:
+        if line.text in names:
+            reached.setdefault(names[line.text], line)
+    first_s = _seconds(lines[0])
+    return [Stage(name, round(1000 * (_seconds(line) - first_s))) for name, line in reached.items()]
+
+
 def _seconds(line: LogLine) -> float:
     """Return when a line was written, in seconds since 1970; 0 if its time is invalid."""
     try:
--- a/app/tests/test_explain.py
+++ b/app/tests/test_explain.py
@@ -45,6 +45,32 @@
         self.assertEqual(timeline.missing, [])
         self.assertIn("phase=failed", timeline.text())
 
+    def test_where_the_time_went(self) -> None:
+        """The stages of a job are shown in milliseconds since its first line.
+
+        In a slow store a job may get servers before its caller has an answer.
+        """
+        task = f"{JOB}.0.0.0"
+        timeline = self.explain(
+            [
+                line(2, "a", "A step gets servers.", step=f"{JOB}.0.0"),
+                line(5, "a", "A start was sent.", task=task),
+                line(6, "a", "A start was sent.", task=task),
+                line(8, "a", "A run has ended.", task=task),
+                line(9, "a", "A job has ended.", job=JOB, phase="completed"),
+            ],
+            [line(4, "b", "A submit was answered.", job=JOB, outcome="accepted")],
+        )
+        expected = {
+            "placed": 0,
+            "first answered": 2000,
+            "start sent": 3000,
+            "first run ended": 6000,
+            "ended": 7000,
+        }
+        self.assertEqual(timeline.as_json()["stages_ms"], expected)
+        self.assertIn("placed 0 ms, first answered 2000 ms, start sent 3000 ms", timeline.text())
+
     def test_warnings_of_the_same_period(self) -> None:
         """Warnings between a job's first and last line are included."""
         timeline = self.explain(
