Remember what did not fit apart for steps that resume

Steps with checkpoints may use servers that others may not, but shared that memory, so a resumable step behind a like one without checkpoints was passed over although servers were open to it. The test of waiting work had hidden it, as its resumable step might preempt, which takes another way; it may not any more. The comparison with a round without memory now has steps of both kinds and servers open to one of them.

--- a/libs/packing/src/catkinknot/packing/_plan.py
+++ b/libs/packing/src/catkinknot/packing/_plan.py
@@ -179,7 +179,13 @@
 ) -> Placement | None:
     """Find servers for one step, by preemption where that is allowed."""
     step, policy = pending_step.state.step, pending_step.state.job.policy
-    task_kind = (step.allocation, policy.service, step.labels, policy.priority == 0)
+    task_kind = (
+        step.allocation,
+        policy.service,
+        step.labels,
+        policy.priority == 0,
+        step.checkpoints,
+    )
     unconstrained = not (pending_step.avoided_servers or step.data_rack or step.max_per_server)
     if task_kind in round_state.unplaceable and not pending_step.may_preempt:
         return None
--- a/libs/packing/tests/test_headroom.py
+++ b/libs/packing/tests/test_headroom.py
@@ -112,7 +112,9 @@
                 add_task(capacity, f"x{capacity.server}", 8, priority=1)
         checks = [
             PendingStep(state("a" * 16, 40, 1, priority=2), 0.0, may_preempt=False),
-            PendingStep(state("b" * 16, 40, 1, priority=2, checkpoints=True), 0.0),
+            PendingStep(
+                state("b" * 16, 40, 1, priority=2, checkpoints=True), 0.0, may_preempt=False
+            ),
         ]
         ((chosen, placement),) = plan_placements(
             checks, capacities, 5.0, urgent_only=reserved, clear=clear
--- a/libs/packing/tests/test_plan.py
+++ b/libs/packing/tests/test_plan.py
@@ -90,6 +90,7 @@
                 state(
                     f"{n:016x}", rng.randrange(1, 14), rng.choice((1, 4, 8)),
                     priority=rng.choice((0, 1, 1, 2)), gang=True, one_rack=rng.random() < 0.4,
+                    checkpoints=rng.random() < 0.5,
                 ),
                 rng.uniform(0.0, 5.0),
                 prospect=rng.choice(list(ExpectedValue)),
@@ -108,7 +109,11 @@
                 pending, capacities = self._random_round(random.Random(seed))
                 with mock.patch.object(_plan, "_RoundState", round_state):
                     chosen = plan_placements(
-                        pending, capacities, 6.0, urgent_only=frozenset({"s00"})
+                        pending,
+                        capacities,
+                        6.0,
+                        urgent_only=frozenset({"s00", "s01", "s02", "s03"}),
+                        clear=frozenset({"s00"}),
                     )
                 rounds.append([(str(step.state.key), placement) for step, placement in chosen])
             with self.subTest(seed=seed):
