--- a/review/common/world.py
+++ b/review/common/world.py
@@ -42,6 +42,8 @@
 HEARTBEAT_S = 1.5
 APPEND_S = 0.004
 PAGE_ITEMS = 500
+FIRST_PORT = 12_000
+PORT_COUNT = 18_000
 
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 """Exit codes of a case."""
@@ -763,15 +765,15 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return free ports."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for one in sockets:
-            one.bind((IP, 0))
-        return [one.getsockname()[1] for one in sockets]
-    finally:
-        for one in sockets:
-            one.close()
+    """Return free ports below those that the system gives to outgoing connections."""
+    ports: list[int] = []
+    while len(ports) < count:
+        port = FIRST_PORT + secrets.randbelow(PORT_COUNT)
+        with socket.socket() as one, contextlib.suppress(OSError):
+            one.bind((IP, port))
+            if port not in ports:
+                ports.append(port)
+    return ports
 
 
 def _json(body: dict) -> bytes:
