--- a/review/common/world.py
+++ b/review/common/world.py
@@ -316,6 +316,7 @@
                 run.ended_s, run.how = self.world.record.now(), "crashed"
             self._begin_lifetime()
             self.silent_until_s = time.monotonic() + first_entry_s
+        self.server.reset_channels()
         self.world.record.say(f"{self.name} crashes and starts again under its id")
 
     def clock_ms(self) -> int:
@@ -783,6 +784,13 @@
 class _Server(ThreadingHTTPServer):
     daemon_threads = True
     request_queue_size = 256
+    channels: set[socket.socket]
+
+    def reset_channels(self) -> None:
+        """Close all open channels, as the crash of a process does."""
+        for channel in list(self.channels):
+            with contextlib.suppress(OSError):
+                channel.shutdown(socket.SHUT_RDWR)
 
 
 def _open_server(handle: Callable) -> _Server:
@@ -811,9 +819,12 @@
 
         def handle(self) -> None:
             """Serve one channel; a caller may reset it."""
+            self.server.channels.add(self.connection)
             with contextlib.suppress(OSError):
                 super().handle()
+            self.server.channels.discard(self.connection)
 
     server = _Server((IP, 0), Handler)
+    server.channels = set()
     threading.Thread(target=server.serve_forever, daemon=True).start()
     return server
