review: give each script a block of ports of its own

Cause: in one of five scripts started together the instances did not become ready. Its record was gone by then, so the cause is not shown; two scripts that draw the same of 18,000 ports at the same time fit it. Change: ports come from a block chosen by the process id, and the record says what became of each instance that is not ready.

--- a/review/common/world.py
+++ b/review/common/world.py
@@ -43,7 +43,8 @@
 APPEND_S = 0.004
 PAGE_ITEMS = 500
 FIRST_PORT = 12_000
-PORT_COUNT = 18_000
+BLOCK_SIZE = 24
+BLOCK_COUNT = 750
 
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 """Exit codes of a case."""
@@ -596,6 +597,11 @@
                 self.record.say(f"all instances are ready, {self.leader()} leads")
                 return
             time.sleep(0.1)
+        for instance in self.instances:
+            status, _ = call(instance.ready, "GET", "/v1/readiness")
+            self.record.say(
+                f"{instance.name}: exit status {instance.process.poll()}, readiness {status}"
+            )
         raise CannotRunError("the instances did not become ready")
 
     def _is_ready(self, instance: Instance) -> bool:
@@ -766,15 +772,27 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return free ports below those that the system gives to outgoing connections."""
-    ports: list[int] = []
-    while len(ports) < count:
-        port = FIRST_PORT + secrets.randbelow(PORT_COUNT)
-        with socket.socket() as one, contextlib.suppress(OSError):
+    """Return free ports of a block that differs between processes.
+
+    They lie below the ports that the system gives to outgoing connections.
+    """
+    block = os.getpid()
+    while True:
+        first = FIRST_PORT + block % BLOCK_COUNT * BLOCK_SIZE
+        ports = [port for port in range(first, first + BLOCK_SIZE) if _is_free(port)]
+        if len(ports) >= count:
+            return ports[:count]
+        block += 1
+
+
+def _is_free(port: int) -> bool:
+    """Return whether nothing listens on a port."""
+    with socket.socket() as one:
+        try:
             one.bind((IP, port))
-            if port not in ports:
-                ports.append(port)
-    return ports
+        except OSError:
+            return False
+    return True
 
 
 def _json(body: dict) -> bytes:
