Count the end of a lease from the least that a server's clock shows

Cause: the end of a lease is a time on the server's clock. It was worked out from the last reading of that clock as if the clock went right; an idle server is not called, so the reading was as old as the idle time, and a clock that is 2% slow 1.9 s behind it. Only the drift during the lease was counted. A reading in a listing was used only while there was none. Without any reading a lease on an arbitrary clock was granted, at most the longest that a server allows.

Change: the end is counted from the least that the clock can show by now; a listing brings the reading up to date; nothing is granted without a reading. The log line of a start has the age of the reading.

--- a/libs/coordination/src/catkinknot/coordination/_cluster_state.py
+++ b/libs/coordination/src/catkinknot/coordination/_cluster_state.py
@@ -204,8 +204,7 @@
         capacity.labels = listing.labels
         capacity.service = listing.service
         capacity.capacity = listing.capacity
-        if view.clock_ahead_ms is None:
-            view.note_clock(listing.clock_ms, now_s)
+        view.note_listed_clock(listing.clock_ms, now_s)
 
     def refresh_capacity(self) -> None:
         """Update which servers may get new work, and the cost of stopping each run."""
@@ -220,7 +219,7 @@
                     and listing is not None
                     and not listing.draining
                     and listing.zone not in suspect_zones
-                    and view.clock_ahead_ms is not None
+                    and view.clock is not None
                     and view.unresponsive_since_s is None
                     and not view.lease_expired
                     and now_s >= view.quarantined_until_s
--- a/libs/coordination/src/catkinknot/coordination/_orders.py
+++ b/libs/coordination/src/catkinknot/coordination/_orders.py
@@ -97,9 +97,15 @@
             order = self._make_start_order(cluster, view, run)
             if order is None or self._stopped.is_set():
                 return
+            clock_age_ms = view.clock_age_ms(self._clock.now())
             reply = self._calls.start(view.listing, order)
             self._log.bind(
-                task=run.task, run=run.run, server=view.lifetime, answer=reply.outcome.value
+                task=run.task,
+                run=run.run,
+                server=view.lifetime,
+                until_ms=order.until_ms,
+                clock_age_ms=clock_age_ms,
+                answer=reply.outcome.value,
             ).info("A start was sent.")
             note_order(cluster, view, reply.outcome is not OrderOutcome.NO_ANSWER)
             if self._handle_start_reply(cluster, view, run, reply):
--- a/libs/coordination/src/catkinknot/coordination/_views.py
+++ b/libs/coordination/src/catkinknot/coordination/_views.py
@@ -7,7 +7,7 @@
 
 from ._servers import Listing
 
-__all__ = ["JobView", "RunView", "ServerView"]
+__all__ = ["CLOCK_DRIFT", "ClockReading", "JobView", "RunView", "ServerView"]
 
 CLOCK_DRIFT = 1.021
 """Largest ratio of the leader's clock rate to that of a server."""
@@ -16,6 +16,23 @@
 """Time after the end of a lease until its runs count as killed."""
 
 
+@dataclass(frozen=True, slots=True)
+class ClockReading:
+    """Reading of a server's clock.
+
+    Attributes:
+        clock_ms: What the clock showed, in milliseconds.
+        read_s: When the leader had the reading, on the leader's clock.
+    """
+
+    clock_ms: int
+    read_s: float
+
+    def earliest_ms(self, now_s: float) -> float:
+        """Return the least that the clock can show now, in milliseconds."""
+        return self.clock_ms + (now_s - self.read_s) * 1000 / CLOCK_DRIFT
+
+
 @dataclass(slots=True)
 class RunView:
     """Run of a task on a server.
@@ -66,8 +83,7 @@
         room: Capacity of the server and the tasks that use it.
         runs: Runs that are or may be on the server, by name of the task.
         listed: Whether the current listing includes the server.
-        clock_ahead_ms: Lower bound of the offset of its clock from the leader's, None
-            if unknown.
+        clock: Reading of its clock, None if there is none yet.
         lease_end_s: When all its runs have been killed unless its lease is renewed.
         seen_end: Number of the last end that is in the ledger.
         read_end: Number of the last end that was read.
@@ -93,7 +109,7 @@
     room: ServerCapacity
     runs: dict[str, RunView] = field(default_factory=dict)
     listed: bool = True
-    clock_ahead_ms: float | None = None
+    clock: ClockReading | None = None
     lease_end_s: float = 0.0
     seen_end: int = 0
     read_end: int = 0
@@ -115,21 +131,40 @@
         return min(self.read_end, self.withheld_end - 1)
 
     def note_clock(self, clock_ms: int, now_s: float) -> None:
-        """Update the clock offset from a reading, unless the reading is missing (0)."""
+        """Update the clock from an answer, unless the reading is missing (0)."""
         if clock_ms:
-            self.clock_ahead_ms = clock_ms - now_s * 1000
+            self.clock = ClockReading(clock_ms, now_s)
+
+    def note_listed_clock(self, clock_ms: int, now_s: float) -> None:
+        """Update the clock from a listing, which may be older than the last answer."""
+        later = self.clock is None or clock_ms > self.clock.earliest_ms(now_s)
+        if clock_ms and later:
+            self.clock = ClockReading(clock_ms, now_s)
+
+    def clock_age_ms(self, now_s: float) -> int | None:
+        """Return the age of the clock reading in milliseconds, None if there is none."""
+        return None if self.clock is None else int((now_s - self.clock.read_s) * 1000)
 
     def grant_lease(self, end_s: float, now_s: float) -> int:
         """Record a lease and return its end on the server's clock.
 
+        The end is counted from the least that the server's clock can show now.
+        A slow clock has fallen behind by more the older its reading is, and
+        would keep the lease for that much longer.
+
         Args:
             end_s: End of the lease on the leader's clock.
             now_s: Current time.
+
+        Returns:
+            The end in milliseconds of the server's clock; 0, which grants
+            nothing, if there is no reading of that clock yet.
         """
-        ahead = self.clock_ahead_ms or 0.0
+        if self.clock is None:
+            return 0
         killed_s = now_s + max(0.0, end_s - now_s) * CLOCK_DRIFT + LEASE_MARGIN_S
         self.lease_end_s = max(self.lease_end_s, killed_s)
-        return int(end_s * 1000 + ahead)
+        return int(self.clock.earliest_ms(now_s) + (end_s - now_s) * 1000)
 
     def admit(self, run: RunView, occupant: Occupant) -> None:
         """Add a run that is about to be started."""
--- a/libs/coordination/tests/stepping.py
+++ b/libs/coordination/tests/stepping.py
@@ -1,9 +1,11 @@
 """Test environment that drives instances step by step on one thread and a stepped clock."""
 
 import threading
+import unittest
 from concurrent.futures import Executor, Future
+from dataclasses import replace
 
-from catkinknot.coordination import JOBS, LEAD_KEY, RUNS, Claim, JobService, Tail
+from catkinknot.coordination import JOBS, LEAD_KEY, RUNS, Claim, JobService, Tail, Verdict
 from catkinknot.coordination._cluster_state import ClusterState
 from catkinknot.coordination._election import Election
 from catkinknot.coordination._leader import MAX_LEASE_AFTER_WRITE_S, Leader
@@ -24,6 +26,7 @@
 
 CAPACITY = Resources(64_000, 131_072, 8)
 STEP_S = 0.1
+DEADLINE_S = 1e9
 START_S = 100.0
 
 
@@ -250,3 +253,29 @@
 
 
 MAX_LEASE_S = MAX_LEASE_AFTER_WRITE_S * 1.03 + 1.0
+
+
+class Base(unittest.TestCase):
+    """Base of the tests: an environment with one leader."""
+
+    servers = 2
+    work_s = 2.0
+
+    def setUp(self) -> None:
+        """Create a leader and a follower."""
+        self.env = Environment(self.servers, work_s=self.work_s)
+        self.first = Instance(self.env, "first")
+        self.second = Instance(self.env, "second")
+        self.first.lead()
+
+    def submit(self, *new_jobs, at: Instance | None = None) -> None:
+        """Submit jobs that are accepted now, by default through the follower."""
+        accepted_ms = int(self.env.clock.wall() * 1000)
+        for new_job in new_jobs:
+            accepted = replace(new_job, accepted_ms=accepted_ms)
+            answer = (at or self.second).job_service.submit(accepted, DEADLINE_S)
+            self.assertEqual(answer.verdict, Verdict.ACCEPTED)
+
+    def run_for(self, seconds: float) -> None:
+        """Advance time for both instances."""
+        run_for(self.env, [self.first, self.second], seconds)
--- a/libs/coordination/tests/test_leader.py
+++ b/libs/coordination/tests/test_leader.py
@@ -4,41 +4,22 @@
 import unittest
 from dataclasses import replace
 
-from stepping import CAPACITY, MAX_LEASE_S, Environment, Instance, job, run_for, step
+from stepping import (
+    CAPACITY,
+    DEADLINE_S,
+    MAX_LEASE_S,
+    Base,
+    Instance,
+    job,
+    run_for,
+    step,
+)
 
 from catkinknot.coordination import JOBS, RUNS, Verdict
 from catkinknot.coordination._watch import needs_watch
 from catkinknot.coordination.exceptions import StoreRefusedError, StoreSilentError
 from catkinknot.jobs import JobPhase, Resources, RunOutcome
 
-DEADLINE_S = 1e9
-
-
-class Base(unittest.TestCase):
-    """Base of the tests: an environment with one leader."""
-
-    servers = 2
-    work_s = 2.0
-
-    def setUp(self) -> None:
-        """Create a leader and a follower."""
-        self.env = Environment(self.servers, work_s=self.work_s)
-        self.first = Instance(self.env, "first")
-        self.second = Instance(self.env, "second")
-        self.first.lead()
-
-    def submit(self, *new_jobs, at: Instance | None = None) -> None:
-        """Submit jobs that are accepted now, by default through the follower."""
-        accepted_ms = int(self.env.clock.wall() * 1000)
-        for new_job in new_jobs:
-            accepted = replace(new_job, accepted_ms=accepted_ms)
-            answer = (at or self.second).job_service.submit(accepted, DEADLINE_S)
-            self.assertEqual(answer.verdict, Verdict.ACCEPTED)
-
-    def run_for(self, seconds: float) -> None:
-        """Advance time for both instances."""
-        run_for(self.env, [self.first, self.second], seconds)
-
 
 class TestServing(Base):
     """Jobs without faults."""
--- a/standins/src/catkinknot_standins/_task_server.py
+++ b/standins/src/catkinknot_standins/_task_server.py
@@ -58,6 +58,7 @@
         listing: Entry of the server in the list of servers.
         clock: Source of time.
         work_s: Run time of each task.
+        clock_rate: Rate of the server's own clock, which may be slow.
         faults: Faults of the server.
         starts: Time, task and run of each executed start.
         delayed_starts: Task and run of each start order that the `late` fault delayed.
@@ -70,6 +71,7 @@
     listing: Listing
     clock: Clock
     work_s: float = 2.0
+    clock_rate: float = 1.0
     faults: ServerFaults = field(default_factory=ServerFaults)
     starts: list[tuple[float, str, int]] = field(default_factory=list)
     delayed_starts: set[tuple[str, int]] = field(default_factory=set)
@@ -87,7 +89,8 @@
 
     def now_ms(self) -> int:
         """Return the server's own clock in milliseconds."""
-        return int(self.clock.now() * 1000)
+        started_ms = self.listing.started_at_ms
+        return int(started_ms + (self.clock.now() * 1000 - started_ms) * self.clock_rate)
 
     def running(self) -> dict[str, int]:
         """Return the number of the current run of each running task."""
