Stop a run in the next lifetime of its server before the task starts again

Cause: all lifetimes of a server share the identity that orders are addressed to, so the next one executed the start. The leader noticed by the start time in the answer, sent one stop without looking at its answer and declared the run lost, which let its task start elsewhere at once. Where the answer names no lifetime, where it was lost and the listing shows the restart, or where another leader takes over, no stop was sent at all. The listing showed the ended lifetime for up to one ping more, and it got further starts. A renewal for the ended lifetime acknowledged ends of the next one by their numbers, unread.

Change: a run that was sent and that no answer of its lifetime has shown moves to the lifetime that is found instead, as a run to stop; its end there, or the end of the longest lease, frees the task. A replaced lifetime is neither called nor used again. No end is acknowledged while a run may be in the next lifetime. The emulated servers execute what was meant for an earlier lifetime, as real ones do; they answered "other lifetime" and did nothing, which hid the fault.

Ruled out: that the stop got lost (it was answered; nobody waited for the run to end).

--- a/libs/coordination/src/catkinknot/coordination/__init__.py
+++ b/libs/coordination/src/catkinknot/coordination/__init__.py
@@ -20,6 +20,7 @@
     ServerListing,
     StartOrder,
     StopOrder,
+    name_lifetime,
 )
 from ._store import JOBS, PEERS, RUNS, Batch, Fence, Record, Snapshot, Store
 from ._tail import Tail
@@ -59,4 +60,5 @@
     "StoreRouter",
     "Tail",
     "Verdict",
+    "name_lifetime",
 ]
--- a/libs/coordination/src/catkinknot/coordination/_cluster_state.py
+++ b/libs/coordination/src/catkinknot/coordination/_cluster_state.py
@@ -25,7 +25,7 @@
 from ._recorder import Recorder
 from ._servers import Listing
 from ._store import JOBS, RUNS
-from ._views import CLOCK_DRIFT, JobView, RunView, ServerView
+from ._views import CLOCK_DRIFT, LEASE_MARGIN_S, JobView, RunView, ServerView
 
 __all__ = ["ACCELERATOR_CORES", "QUARANTINE_S", "ClusterState"]
 
@@ -69,7 +69,7 @@
         stop_run: Callable[[ServerView, RunView, str], None],
         on_server_removed: Callable[[Listing], None] = lambda listing: None,
         fence_s: float,
-        inherited_lease_s: float,
+        max_lease_s: float,
     ) -> None:
         """Create an empty state.
 
@@ -80,20 +80,22 @@
             on_server_removed: Called after a lost server has been removed, if no other
                 server uses its address.
             fence_s: When earlier leaders were fenced.
-            inherited_lease_s: How long after `fence_s` leases granted by earlier
-                leaders may last.
+            max_lease_s: How long after `fence_s` leases granted by earlier
+                leaders may last, and any lease after the order that grants it.
         """
         self._recorder = recorder
         self.clock = clock
         self.send_stop = stop_run
         self._on_server_removed = on_server_removed
-        self._inherited_lease_end_s = fence_s + inherited_lease_s * CLOCK_DRIFT
+        self._max_lease_s = max_lease_s * CLOCK_DRIFT + LEASE_MARGIN_S
+        self._inherited_lease_end_s = fence_s + self._max_lease_s
         self._log = logger.bind(part="board")
         self.lock = threading.RLock()
         self.changed = threading.Event()
         self.jobs: dict[str, JobView] = {}
         self.servers: dict[str, ServerView] = {}
         self._expired_lifetimes: set[str] = set()
+        self._replaced_lifetimes: set[str] = set()
         self._suspect_zones: set[str] = set()
 
     # Jobs
@@ -131,9 +133,15 @@
             task = tasks[i]
             server = self._server_view(task.server)
             run = RunView(
-                key.task(i), key, i, task.run, self.clock.now(), start_resolved_s=float("-inf")
+                key.task(i),
+                key,
+                i,
+                task.run,
+                self.clock.now(),
+                start_resolved_s=float("-inf"),
+                sent=True,
+                checkpoint=task.checkpoint,
             )
-            run.checkpoint = task.checkpoint
             server.admit(run, self.occupant_of(state, i))
             server.lease_end_s = max(server.lease_end_s, self._inherited_lease_end_s)
 
@@ -168,23 +176,33 @@
         """Apply the current listings of all servers."""
         with self.lock:
             now_s = self.clock.now()
-            current = {listing.lifetime: listing for listing in listings}
-            by_id = {listing.id: listing.lifetime for listing in current.values()}
+            current = {
+                listing.lifetime: listing
+                for listing in listings
+                if listing.lifetime not in self._replaced_lifetimes
+            }
+            by_id = {listing.id: listing for listing in current.values()}
             for view in list(self.servers.values()):
                 if view.lifetime not in current:
                     view.listed = False
                     if self._has_restarted(view, by_id):
-                        self.mark_server_lost(view, "the server has restarted")
+                        other = by_id[_server_id(view.lifetime)]
+                        self.replace_lifetime(view, other, "the server has restarted")
+            self._replaced_lifetimes = {
+                lifetime
+                for lifetime in self._replaced_lifetimes
+                if _server_id(lifetime) not in by_id
+            }
             for listing in current.values():
                 view = self._server_view(listing.lifetime)
                 self._refresh(view, listing, now_s)
             self.changed.set()
 
-    def _has_restarted(self, view: ServerView, by_id: dict[str, str]) -> bool:
+    def _has_restarted(self, view: ServerView, by_id: dict[str, Listing]) -> bool:
         """Return whether the server is listed with a later lifetime."""
-        name, _, born = view.lifetime.rpartition("@")
+        name, _, started_at_ms = view.lifetime.rpartition("@")
         other = by_id.get(name)
-        return other is not None and int(other.rpartition("@")[2]) > int(born)
+        return other is not None and other.started_at_ms > int(started_at_ms)
 
     def _refresh(self, view: ServerView, listing: Listing, now_s: float) -> None:
         """Apply the listing of one server."""
@@ -305,6 +323,46 @@
             view.listed = False
             self.changed.set()
 
+    def replace_lifetime(self, view: ServerView, other: Listing | None, reason: str) -> None:
+        """End a lifetime that no longer exists, and what it may have left in another one.
+
+        Two lifetimes of a server have the same identity, so a start may have
+        reached the next one. A run that the ended lifetime never showed is
+        stopped there, and its task starts again only when that is done.
+
+        Args:
+            view: The ended lifetime.
+            other: Listing of the lifetime of the same server that was found in its
+                place, None if none was.
+            reason: How that was found.
+        """
+        with self.lock:
+            view.replaced = True
+            self._replaced_lifetimes.add(view.lifetime)
+            for run in list(view.runs.values()):
+                if run.unproven and other is not None:
+                    self._move_run(view, run, other)
+            self.mark_server_lost(view, reason)
+
+    def _move_run(self, view: ServerView, run: RunView, other: Listing) -> None:
+        """Stop a run in the lifetime of its server that may have started it instead."""
+        now_s = self.clock.now()
+        successor = self._server_view(other.lifetime)
+        if successor.listing is None:
+            successor.listing = other
+            successor.note_clock(other.clock_ms, now_s)
+        view.drop(run.task)
+        moved = RunView(run.task, run.key, run.index, run.run, run.assigned_s, sent=True)
+        moved.checkpoint = run.checkpoint
+        job = self.jobs.get(run.key.job)
+        state = job.steps.get(run.key) if job else None
+        if state is not None and run.task not in successor.runs:
+            successor.admit(moved, self.occupant_of(state, run.index))
+            successor.lease_end_s = max(successor.lease_end_s, now_s + self._max_lease_s)
+        self.stop_run(successor, moved, f"its start may have reached {other.lifetime}")
+        if state is not None and state.step.gang and not state.done:
+            self._stop_gang(state)
+
     # Runs
 
     def mark_responsive(self, view: ServerView) -> None:
@@ -468,3 +526,8 @@
     def _record(self, state: StepState) -> None:
         """Queue the record of a step's current state."""
         self._recorder.put(RUNS, str(state.key), write_step(state))
+
+
+def _server_id(lifetime: str) -> str:
+    """Return the identity of the server that a lifetime belongs to."""
+    return lifetime.rpartition("@")[0]
--- a/libs/coordination/src/catkinknot/coordination/_leader.py
+++ b/libs/coordination/src/catkinknot/coordination/_leader.py
@@ -122,7 +122,7 @@
             stop_run=lambda view, run, reason: self._orders.stop(self.cluster, view, run),
             on_server_removed=calls.close_connections,
             fence_s=clock.now(),
-            inherited_lease_s=MAX_LEASE_AFTER_WRITE_S,
+            max_lease_s=MAX_LEASE_AFTER_WRITE_S,
         )
         self._watcher = Watcher(
             self.cluster,
--- a/libs/coordination/src/catkinknot/coordination/_orders.py
+++ b/libs/coordination/src/catkinknot/coordination/_orders.py
@@ -9,7 +9,7 @@
 from catkinknot.model import Clock
 
 from ._cluster_state import ClusterState
-from ._reports import note_order
+from ._reports import note_order, note_other_lifetime
 from ._servers import OrderOutcome, OrderReply, ServerCalls, StartOrder, StopOrder
 from ._views import RunView, ServerView
 
@@ -140,6 +140,7 @@
             task = cluster.jobs[run.key.job].steps[run.key].tasks[run.index]
             now_s = self._clock.now()
             until_ms = view.grant_lease(min(now_s + LEASE_S, self._lease_end()), now_s)
+            run.sent = True
             return StartOrder(
                 run.task, run.run, job.payload, until_ms, self._token, task.checkpoint
             )
@@ -155,7 +156,7 @@
             case OrderOutcome.DONE:
                 with cluster.lock:
                     view.note_clock(reply.clock_ms, now_s)
-                    run.confirmed = True
+                    run.confirmed = run.confirmed or bool(reply.started_at_ms)
                     run.start_resolved_s = now_s
                 return True
             case OrderOutcome.TOO_LATE:
@@ -167,9 +168,7 @@
                 self._on_fenced()
                 return True
             case OrderOutcome.OTHER_LIFETIME:
-                # The new lifetime may have accepted the order under the old identity.
-                self._calls.stop(view.listing, StopOrder(run.task, run.run, self._token))
-                cluster.mark_server_lost(view, "another lifetime of the server answers")
+                note_other_lifetime(cluster, view, reply)
                 return True
         if reply.outcome is OrderOutcome.UNHEALTHY:
             view.quarantined_until_s = now_s + 2.0
@@ -197,7 +196,7 @@
                     self._on_fenced()
                     return
                 case OrderOutcome.OTHER_LIFETIME:
-                    cluster.mark_server_lost(view, "another lifetime of the server answers")
+                    note_other_lifetime(cluster, view, reply)
                     return
                 case OrderOutcome.NO_ANSWER | OrderOutcome.UNHEALTHY:
                     self._stopped.wait(RETRY_S)
--- a/libs/coordination/src/catkinknot/coordination/_reports.py
+++ b/libs/coordination/src/catkinknot/coordination/_reports.py
@@ -5,10 +5,10 @@
 from catkinknot.jobs import RunOutcome, read_step_key
 
 from ._cluster_state import QUARANTINE_S, ClusterState
-from ._servers import EndRow, HoldAnswer, OrderOutcome, RunRow
+from ._servers import EndRow, HoldAnswer, OrderOutcome, OrderReply, RunRow
 from ._views import RunView, ServerView
 
-__all__ = ["apply_hold_answer", "note_order"]
+__all__ = ["apply_hold_answer", "note_order", "note_other_lifetime"]
 
 QUARANTINE_FAILED_JOB_COUNT = 2
 """Different jobs that fail in a row on a server before it is quarantined."""
@@ -35,7 +35,7 @@
     """
     with cluster.lock:
         now_s = cluster.clock.now()
-        if not _note_answer(cluster, view, answer.reply.outcome, now_s):
+        if not _note_answer(cluster, view, answer.reply, now_s):
             return
         view.note_clock(answer.reply.clock_ms, now_s)
         cluster.mark_responsive(view)
@@ -111,11 +111,18 @@
             )
 
 
-def _note_answer(
-    cluster: ClusterState, view: ServerView, outcome: OrderOutcome, now_s: float
-) -> bool:
+def note_other_lifetime(cluster: ClusterState, view: ServerView, reply: OrderReply) -> None:
+    """Handle an answer that another lifetime of a server, or another server, gave."""
+    listing = view.listing
+    other = None
+    if listing is not None and reply.started_at_ms not in (0, listing.started_at_ms):
+        other = listing.other_lifetime(reply.started_at_ms, reply.clock_ms)
+    cluster.replace_lifetime(view, other, "another lifetime of the server answers")
+
+
+def _note_answer(cluster: ClusterState, view: ServerView, reply: OrderReply, now_s: float) -> bool:
     """Update a server's responsiveness; return whether its answer is to be applied."""
-    match outcome:
+    match reply.outcome:
         case OrderOutcome.DONE:
             if view.unresponsive_since_s is not None:
                 _LOG.bind(server=view.lifetime).info("A server is responsive again.")
@@ -124,10 +131,10 @@
             view.unanswered = 0
             return True
         case OrderOutcome.OTHER_LIFETIME:
-            cluster.mark_server_lost(view, "another lifetime of the server answers")
+            note_other_lifetime(cluster, view, reply)
         case _ if view.unresponsive_since_s is None:
             view.unresponsive_since_s = now_s
-            _LOG.bind(server=view.lifetime, answer=outcome.value).warning(
+            _LOG.bind(server=view.lifetime, answer=reply.outcome.value).warning(
                 "A server is unresponsive."
             )
     return False
--- a/libs/coordination/src/catkinknot/coordination/_servers.py
+++ b/libs/coordination/src/catkinknot/coordination/_servers.py
@@ -1,6 +1,6 @@
 """Interface of the backend servers: listings, orders and answers."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 from typing import Protocol
 
@@ -17,6 +17,7 @@
     "ServerListing",
     "StartOrder",
     "StopOrder",
+    "name_lifetime",
 ]
 
 
@@ -53,6 +54,26 @@
     clock_ms: int
     remaining_ms: int = 0
 
+    def other_lifetime(self, started_at_ms: int, clock_ms: int) -> "Listing":
+        """Return a provisional listing of another lifetime that answers at the address.
+
+        Labels and capacity are those of this lifetime; the other one may be of
+        another kind.
+        """
+        return replace(
+            self,
+            lifetime=name_lifetime(self.id, started_at_ms),
+            started_at_ms=started_at_ms,
+            clock_ms=clock_ms,
+            draining=False,
+            remaining_ms=0,
+        )
+
+
+def name_lifetime(server_id: str, started_at_ms: int) -> str:
+    """Return the identity of one lifetime of a server."""
+    return f"{server_id}@{started_at_ms}"
+
 
 class ServerListing(Protocol):
     """Source of the listings that servers publish."""
--- a/libs/coordination/src/catkinknot/coordination/_views.py
+++ b/libs/coordination/src/catkinknot/coordination/_views.py
@@ -46,7 +46,9 @@
         start_resolved_s: When the start was resolved: the run is known to have
             started, or no order can start it any more. None while a start
             order may be in flight.
-        confirmed: Whether the server has reported the run.
+        sent: Whether a start order may have been sent.
+        confirmed: Whether this lifetime of the server has shown the run. An answer
+            that doesn't name its lifetime may come from the next one.
         stopping: Whether the run has been ordered to stop.
         stop_sent_s: When the last stop order was sent.
         stop_acknowledged: Whether the server has answered a stop order.
@@ -63,6 +65,7 @@
     run: int
     assigned_s: float
     start_resolved_s: float | None = None
+    sent: bool = False
     confirmed: bool = False
     stopping: bool = False
     stop_sent_s: float = 0.0
@@ -72,6 +75,11 @@
     percent: int = 0
     last_progress_s: float | None = None
 
+    @property
+    def unproven(self) -> bool:
+        """Whether the run may be in the server's next lifetime instead."""
+        return self.sent and not self.confirmed
+
 
 @dataclass(slots=True)
 class ServerView:
@@ -83,6 +91,7 @@
         room: Capacity of the server and the tasks that use it.
         runs: Runs that are or may be on the server, by name of the task.
         listed: Whether the current listing includes the server.
+        replaced: Whether another lifetime is known to have taken its place.
         clock: Reading of its clock, None if there is none yet.
         lease_end_s: When all its runs have been killed unless its lease is renewed.
         seen_end: Number of the last end that is in the ledger.
@@ -109,6 +118,7 @@
     room: ServerCapacity
     runs: dict[str, RunView] = field(default_factory=dict)
     listed: bool = True
+    replaced: bool = False
     clock: ClockReading | None = None
     lease_end_s: float = 0.0
     seen_end: int = 0
@@ -130,6 +140,15 @@
             return self.read_end
         return min(self.read_end, self.withheld_end - 1)
 
+    @property
+    def ack_cursor(self) -> int:
+        """Number of the last end that a lease renewal may acknowledge now.
+
+        It is 0 while a run may be in the server's next lifetime: the numbers of
+        ends start anew there, and its ends would be forgotten unread.
+        """
+        return 0 if any(run.unproven for run in self.runs.values()) else self.seen_end
+
     def note_clock(self, clock_ms: int, now_s: float) -> None:
         """Update the clock from an answer, unless the reading is missing (0)."""
         if clock_ms:
--- a/libs/coordination/src/catkinknot/coordination/_watch.py
+++ b/libs/coordination/src/catkinknot/coordination/_watch.py
@@ -29,8 +29,8 @@
 IDLE_RETRY_S = 0.8
 """The same while the server has no runs."""
 
-WITHHELD_POLL_S = 0.4
-"""Pause between renewals at a server with a withheld end, which answers without waiting."""
+UNACKNOWLEDGED_POLL_S = 0.4
+"""Pause between renewals while an end can't be acknowledged; the server doesn't wait then."""
 
 
 class Watcher:
@@ -83,8 +83,8 @@
                 RECORD_WAIT_S
             ):
                 stopped.wait(RETRY_S)
-            elif view.withheld_end is not None:
-                stopped.wait(WITHHELD_POLL_S)
+            elif view.ack_cursor < view.read_end:
+                stopped.wait(UNACKNOWLEDGED_POLL_S)
 
     def hold(self, view: ServerView, wait_s: float) -> HoldAnswer:
         """Renew a server's lease once and apply the answer.
@@ -102,7 +102,7 @@
             end_s = min(now_s + LEASE_S, self._lease_end())
             renew = end_s > now_s and view.unresponsive_since_s is None
             until_ms = view.grant_lease(end_s, now_s) if renew else 0
-            seen_end = view.seen_end
+            seen_end = view.ack_cursor
             listing = view.listing
         answer = self._calls.hold(
             listing, token=self._token, seen_end=seen_end, until_ms=until_ms, wait_s=wait_s
@@ -139,7 +139,7 @@
     A server that is unresponsive, or whose lease has expired, is polled even
     without runs, since it gets no new work until it has answered.
     """
-    if view.listing is None:
+    if view.listing is None or view.replaced:
         return False
     unresponsive = view.listed and (view.lease_expired or view.unresponsive_since_s is not None)
     return bool(view.runs or unresponsive or view.acknowledgeable_end > view.seen_end)
--- a/standins/src/catkinknot_standins/_task_server.py
+++ b/standins/src/catkinknot_standins/_task_server.py
@@ -11,6 +11,7 @@
     RunRow,
     StartOrder,
     StopOrder,
+    name_lifetime,
 )
 from catkinknot.jobs import Resources, RunOutcome
 from catkinknot.model import Clock
@@ -33,6 +34,7 @@
         late: Orders get no answer and are executed by `TaskServer.execute_delayed_orders`.
         fail_tasks: Every task fails.
         hang_tasks: Tasks started while this is set make no progress.
+        anonymous: Answers to orders do not name the lifetime that gave them.
     """
 
     drop_requests: bool = False
@@ -40,6 +42,7 @@
     late: bool = False
     fail_tasks: bool = False
     hang_tasks: bool = False
+    anonymous: bool = False
 
 
 @dataclass(slots=True)
@@ -59,6 +62,7 @@
         clock: Source of time.
         work_s: Run time of each task.
         clock_rate: Rate of the server's own clock, which may be slow.
+        stop_s: Time that a stop takes.
         faults: Faults of the server.
         starts: Time, task and run of each executed start.
         delayed_starts: Task and run of each start order that the `late` fault delayed.
@@ -72,6 +76,7 @@
     clock: Clock
     work_s: float = 2.0
     clock_rate: float = 1.0
+    stop_s: float = 0.0
     faults: ServerFaults = field(default_factory=ServerFaults)
     starts: list[tuple[float, str, int]] = field(default_factory=list)
     delayed_starts: set[tuple[str, int]] = field(default_factory=set)
@@ -108,7 +113,9 @@
             for run in list(self._runs.values()):
                 self._end(run, RunOutcome.LAPSED)
         for run in list(self._runs.values()):
-            if now_s >= run.ends_s:
+            if now_s >= run.ends_s and run.stopping:
+                self._end(run, RunOutcome.STOPPED)
+            elif now_s >= run.ends_s:
                 self._end(run, RunOutcome.FAILED if self.faults.fail_tasks else RunOutcome.DONE)
 
     def crash(self) -> None:
@@ -134,7 +141,8 @@
         outcome = self._execute(order)
         if self.faults.drop_answers:
             return OrderReply(OrderOutcome.NO_ANSWER)
-        return OrderReply(outcome, self.now_ms(), self.listing.started_at_ms)
+        started_at_ms = 0 if self.faults.anonymous else self.listing.started_at_ms
+        return OrderReply(outcome, self.now_ms(), started_at_ms)
 
     def hold(self, token: int, seen_end: int, until_ms: int) -> HoldAnswer:
         """Renew the lease and return the running runs and the unacknowledged ends."""
@@ -193,8 +201,10 @@
         """Stop a run, and refuse later starts of this run and of earlier ones."""
         self._last_closed_run[order.task] = max(order.run, self._last_closed_run.get(order.task, 0))
         run = self._runs.get(order.task)
-        if run is not None and run.run <= order.run:
-            self._end(run, RunOutcome.STOPPED)
+        if run is not None and run.run <= order.run and not run.stopping:
+            run.stopping = True
+            run.ends_s = self.clock.now() + self.stop_s
+            self.tick()
         return OrderOutcome.DONE
 
     def _extend(self, until_ms: int) -> None:
@@ -246,7 +256,7 @@
         """Add a server; if one has this name already, it crashes and a new lifetime begins."""
         started_at_ms = int(self._clock.now() * 1000) + 1
         listing = Listing(
-            lifetime=f"{name}@{started_at_ms}",
+            lifetime=name_lifetime(name, started_at_ms),
             id=name,
             started_at_ms=started_at_ms,
             address=f"{name}:1",
@@ -295,17 +305,25 @@
     ) -> HoldAnswer:
         """Renew the lease of a server without waiting for a run to end."""
         found = self.by_id[server.id]
-        if found.alive and found.listing.lifetime != server.lifetime:
-            return HoldAnswer(OrderReply(OrderOutcome.OTHER_LIFETIME))
-        return found.hold(token, seen_end, until_ms)
+        answer = found.hold(token, seen_end, until_ms)
+        reply = _name_lifetime(answer.reply, server)
+        return answer if reply is answer.reply else HoldAnswer(reply)
 
     def close_connections(self, server: Listing) -> None:
         """Record that the connections to a server were closed."""
         self.forgotten.append(server.lifetime)
 
     def _deliver(self, server: Listing, order: StartOrder | StopOrder) -> OrderReply:
-        """Deliver an order to the lifetime that it is addressed to."""
-        found = self.by_id[server.id]
-        if found.alive and found.listing.lifetime != server.lifetime:
-            return OrderReply(OrderOutcome.OTHER_LIFETIME)
-        return found.order(order)
+        """Deliver an order to the current lifetime of a server, which executes it."""
+        return _name_lifetime(self.by_id[server.id].order(order), server)
+
+
+def _name_lifetime(reply: OrderReply, server: Listing) -> OrderReply:
+    """Return a reply as the client decodes it, which compares lifetimes.
+
+    All lifetimes of a server have one identity, by which calls are addressed,
+    so each executes what was meant for an earlier one.
+    """
+    if reply.started_at_ms in (0, server.started_at_ms):
+        return reply
+    return replace(reply, outcome=OrderOutcome.OTHER_LIFETIME)
--- a/standins/src/catkinknot_standins/lab/_day.py
+++ b/standins/src/catkinknot_standins/lab/_day.py
@@ -46,7 +46,7 @@
         clock=clock,
         stop_run=lambda view, run, reason: fleet.stop(cluster, view, run),
         fence_s=START_S,
-        inherited_lease_s=0.0,
+        max_lease_s=0.0,
     )
     cluster.apply_listing(fleet.listings())
     planner = Planner(
