Let a job return to a server it failed on if no other has capacity

Cause: a server on which a step failed or stalled was left out for as long as the leader led whenever any other server may run the step, whether that one had capacity, would ever have any, or was large enough. The planner made one request without these servers and no other.

Change: requests without the servers of failures come first, then one that leaves out only those of the last 2 s. The line of a waiting step says how many servers it avoids.

Evidence: before the change test_others_are_full, test_others_are_too_small (gang), test_stalled_task_returns_if_it_has_to and all six subtests of test_avoided_server_is_better_than_none fail. Ruled out: the quarantine of the server (one failing job doesn't cause it), the reservation of headroom.

--- a/libs/coordination/src/catkinknot/coordination/_planner.py
+++ b/libs/coordination/src/catkinknot/coordination/_planner.py
@@ -167,6 +167,7 @@
                 guaranteed=pending_step.guaranteed,
                 prospect=pending_step.prospect.name.lower(),
                 servers=len(pool),
+                avoided=len(pending_step.avoided_servers),
                 kept_clear=sum(capacity.server in headroom for capacity in pool),
                 free_accelerators=sum(capacity.free().accelerators for capacity in pool),
             ).info("A step is waiting for servers.")
@@ -249,7 +250,8 @@
             may_preempt=(guaranteed and now_s - ready_s >= URGENT_WAIT_S)
             or (prospect is ExpectedValue.IN_TIME and waits_s <= 0),
             preemption_limit_core_s=float("inf") if guaranteed else ratio * _work_core_s(state),
-            avoided_servers=frozenset(view.avoided_servers.get(state.key, ())),
+            avoided_servers=view.avoided_servers(state.key),
+            barred_servers=view.barred_servers(state.key, now_s),
         )
 
     def _expected_value(self, view: JobView, state: StepState) -> tuple[ExpectedValue, float]:
--- a/libs/coordination/src/catkinknot/coordination/_reconcile.py
+++ b/libs/coordination/src/catkinknot/coordination/_reconcile.py
@@ -83,7 +83,7 @@
 def _abandon_run(cluster: ClusterState, view: ServerView, run: RunView, now_s: float) -> None:
     """Stop a stalled run, and avoid its server."""
     job = cluster.jobs[run.key.job]
-    job.avoided_servers.setdefault(run.key, set()).add(view.lifetime)
+    job.note_failure(run.key, view.lifetime, now_s)
     state = job.steps[run.key]
     if not state.step.gang or state.step.count == 1:
         view.quarantined_until_s = now_s + QUARANTINE_S
--- a/libs/coordination/src/catkinknot/coordination/_reports.py
+++ b/libs/coordination/src/catkinknot/coordination/_reports.py
@@ -197,7 +197,7 @@
     view.failed_jobs.add(run.key.job)
     job = cluster.jobs.get(run.key.job)
     if job is not None:
-        job.avoided_servers.setdefault(run.key, set()).add(view.lifetime)
+        job.note_failure(run.key, view.lifetime, cluster.clock.now())
     if len(view.failed_jobs) >= QUARANTINE_FAILED_JOB_COUNT:
         view.quarantined_until_s = cluster.clock.now() + QUARANTINE_S
         _LOG.bind(server=view.lifetime, jobs=len(view.failed_jobs)).warning(
--- a/libs/coordination/src/catkinknot/coordination/_views.py
+++ b/libs/coordination/src/catkinknot/coordination/_views.py
@@ -16,6 +16,10 @@
 """Time after the end of a lease until its runs count as killed."""
 
 
+AVOIDANCE_S = 2.0
+"""Time after a failure on a server for which a step returns there only if it has to."""
+
+
 @dataclass(frozen=True, slots=True)
 class ClockReading:
     """Reading of a server's clock.
@@ -206,8 +210,8 @@
         steps: Steps of all due occurrences, by key.
         next_occurrence: Index of the first occurrence that is not due yet.
         ready_s: When each step became ready.
-        avoided_servers: Servers to avoid for each step, because its tasks failed or stalled
-            there.
+        failures_s: When a task of a step last failed or stalled on a server, by step
+            and server.
         paused_until_s: Time before which a step is not placed again.
         ended_s: When the job ended, None before that.
     """
@@ -217,10 +221,25 @@
     steps: dict[StepKey, StepState] = field(default_factory=dict)
     next_occurrence: int = 0
     ready_s: dict[StepKey, float] = field(default_factory=dict)
-    avoided_servers: dict[StepKey, set[str]] = field(default_factory=dict)
+    failures_s: dict[StepKey, dict[str, float]] = field(default_factory=dict)
     paused_until_s: dict[StepKey, float] = field(default_factory=dict)
     ended_s: float | None = None
 
+    def note_failure(self, key: StepKey, server: str, now_s: float) -> None:
+        """Record that a task of a step failed or stalled on a server."""
+        self.failures_s.setdefault(key, {})[server] = now_s
+
+    def avoided_servers(self, key: StepKey) -> frozenset[str]:
+        """Return the servers that a step uses only if no other has capacity for it."""
+        return frozenset(self.failures_s.get(key, ()))
+
+    def barred_servers(self, key: StepKey, now_s: float) -> frozenset[str]:
+        """Return the servers that a step uses for now only if no other may run it."""
+        failures = self.failures_s.get(key, {})
+        return frozenset(
+            server for server, failed_s in failures.items() if now_s - failed_s < AVOIDANCE_S
+        )
+
     def open_next(self) -> None:
         """Add the steps of the next occurrence, except those already known."""
         for i, step in enumerate(self.job.steps):
--- a/libs/coordination/tests/stepping.py
+++ b/libs/coordination/tests/stepping.py
@@ -276,6 +276,19 @@
             answer = (at or self.second).job_service.submit(accepted, DEADLINE_S)
             self.assertEqual(answer.verdict, Verdict.ACCEPTED)
 
+    def fill(self, name: str) -> None:
+        """Let one of two servers run a task for good that leaves it three accelerators."""
+        others = [s for s in self.env.servers.by_id.values() if s.listing.id != name]
+        for server in others:
+            server.listing = replace(server.listing, draining=True)
+        self.env.servers.by_id[name].work_s = 1e6
+        self.run_for(0.2)
+        self.submit(job("f" * 16, step(1, gpu=5, service=True)))
+        self.run_for(0.5)
+        for server in others:
+            server.listing = replace(server.listing, draining=False)
+        self.run_for(0.2)
+
     def run_for(self, seconds: float) -> None:
         """Advance time for both instances."""
         run_for(self.env, [self.first, self.second], seconds)
--- a/libs/coordination/tests/test_leader.py
+++ b/libs/coordination/tests/test_leader.py
@@ -477,6 +477,53 @@
         self.assertEqual(len(self.env.running()), 2)
 
 
+class TestFailingRuns(Base):
+    """Steps whose runs fail on the only server with capacity for them."""
+
+    IDLE_LIMIT_S = 3.0
+    """Time for which a job that can run may have nothing running."""
+
+    def assert_runs_again(self, count: int) -> None:
+        """Check that a job begins so many runs on the first server, none of them too late."""
+        server = self.env.servers.by_id["s0"]
+        self.run_for(count * (self.work_s + self.IDLE_LIMIT_S))
+        starts_s = [s for s, task, _ in server.starts if task.startswith("a")]
+        ends_s = [end[0] for end in server.finished if end[1].startswith("a")]
+        self.assertGreaterEqual(len(starts_s), count)
+        for start_s, end_s in zip(starts_s[1:], ends_s, strict=False):
+            self.assertLess(start_s - end_s, self.IDLE_LIMIT_S)
+
+    def test_others_are_full(self) -> None:
+        """A job returns to the server it failed on while the others are full.
+
+        Guards against a server that is avoided for as long as the leader
+        leads, so that the job never runs again (review 5).
+        """
+        self.fill("s1")
+        server = self.env.servers.by_id["s0"]
+        server.faults.fail_tasks = True
+        self.submit(job("a" * 16, step(1, gpu=4)))
+        self.run_for(self.work_s + 0.5)
+        server.faults.fail_tasks = False
+        self.assert_runs_again(2)
+        self.assertEqual(self.first.phase("a" * 16), JobPhase.COMPLETED)
+
+    def test_others_are_too_small(self) -> None:
+        """The same with servers that no run of the job ever fits on."""
+        small = Resources(4000, 8000, 1)
+        self.env.servers.by_id["s1"].listing = replace(
+            self.env.servers.by_id["s1"].listing, capacity=small
+        )
+        self.run_for(0.2)
+        server = self.env.servers.by_id["s0"]
+        server.faults.fail_tasks = True
+        self.submit(job("a" * 16, step(2, gpu=4, gang=True)))
+        self.run_for(self.work_s + 0.5)
+        server.faults.fail_tasks = False
+        self.assert_runs_again(4)
+        self.assertEqual(self.first.phase("a" * 16), JobPhase.COMPLETED)
+
+
 class TestStalledRuns(Base):
     """Stalled runs on a responsive server."""
 
@@ -491,6 +538,17 @@
         self.run_for(self.STALL_LIMIT_S)
         self.assertEqual(self.first.phase("a" * 16), JobPhase.COMPLETED)
 
+    def test_stalled_task_returns_if_it_has_to(self) -> None:
+        """A task that stalled on the only server with capacity for it runs there again."""
+        self.fill("s1")
+        server = self.env.servers.by_id["s0"]
+        server.faults.hang_tasks = True
+        self.submit(job("a" * 16, step(1, gpu=4)))
+        self.run_for(self.STALL_LIMIT_S / 2)
+        server.faults.hang_tasks = False
+        self.run_for(2 * self.STALL_LIMIT_S)
+        self.assertEqual(self.first.phase("a" * 16), JobPhase.COMPLETED)
+
 
 class TestChangeOfLeader(Base):
     """Changes of the leader."""
--- a/libs/packing/src/catkinknot/packing/_plan.py
+++ b/libs/packing/src/catkinknot/packing/_plan.py
@@ -49,7 +49,9 @@
         may_preempt: Whether the step has waited long enough to preempt others.
         preemption_limit_core_s: Most work that may be lost by preempting
             others for the step, in core-seconds.
-        avoided_servers: Servers that are used only if there are no others.
+        avoided_servers: Servers that are used only if no other has capacity.
+        barred_servers: Those of them that are used only if no other may run the
+            step, whether it has capacity or not.
     """
 
     state: StepState
@@ -60,6 +62,7 @@
     may_preempt: bool = True
     preemption_limit_core_s: float = float("inf")
     avoided_servers: frozenset[str] = frozenset()
+    barred_servers: frozenset[str] = frozenset()
 
     @property
     def order(self) -> tuple:
@@ -330,12 +333,29 @@
 ) -> list[Request]:
     """Return the requests to try for a step, in order of preference.
 
+    Servers on which the step has failed come last.
+    """
+    step, service = pending_step.state.step, pending_step.state.job.policy.service
+    usable = tuple(capacity for capacity in capacities if capacity.accepts(service, step))
+    if not pending_step.avoided_servers:
+        return _requests_among(pending_step, usable, now_s)
+    preferred = tuple(c for c in usable if c.server not in pending_step.avoided_servers)
+    unbarred = tuple(c for c in usable if c.server not in pending_step.barred_servers)
+    found = _requests_among(pending_step, preferred, now_s) if preferred else []
+    if len(unbarred) > len(preferred):
+        found += _requests_among(pending_step, unbarred, now_s)
+    return found or _requests_among(pending_step, usable, now_s)
+
+
+def _requests_among(
+    pending_step: PendingStep, usable: tuple[ServerCapacity, ...], now_s: float
+) -> list[Request]:
+    """Return the requests for a step on some servers, in order of preference.
+
     A step that prefers one rack gets only the request for it until it has
     waited for the estimated run time of a task.
     """
     state, step, policy = pending_step.state, pending_step.state.step, pending_step.state.job.policy
-    usable = tuple(capacity for capacity in capacities if capacity.accepts(policy.service, step))
-    preferred = tuple(c for c in usable if c.server not in pending_step.avoided_servers)
     base = Request(
         step=str(state.key),
         need=step.allocation,
@@ -345,7 +365,7 @@
         guaranteed=pending_step.guaranteed,
         all_or_none=step.gang,
         max_per_server=step.max_per_server,
-        usable=preferred or usable,
+        usable=usable,
     )
     rack_wait_s = step.estimate_ms / 1000
     if step.gang and step.one_rack and step.count > 1:
--- a/libs/packing/tests/test_plan.py
+++ b/libs/packing/tests/test_plan.py
@@ -280,6 +280,41 @@
         ((_, placement),) = plan_placements([pending_step], capacities, 1.0)
         self.assertEqual(placement.places, {0: "b"})
 
+    def test_avoided_server_is_better_than_none(self) -> None:
+        """A task returns to the server it failed on if no other has capacity for it.
+
+        Guards against a job that never runs again, as all other servers are full
+        or too small for it (review 5).
+        """
+        small = ServerCapacity("b", "a", "r1", frozenset({"r1"}), "render", Resources(1, 1, 0))
+        full = empty_server("b")
+        add_task(full, "x", 8, priority=0, pinned=True)
+        for name, other in (("small", small), ("full", full)):
+            for count, extra in (
+                (1, {}),
+                (2, {"gang": True}),
+                (2, {"gang": True, "one_rack": True}),
+            ):
+                with self.subTest(other=name, count=count, **extra):
+                    pending_step = PendingStep(
+                        state("new", count, 4, **extra), 0.0, avoided_servers=frozenset({"a"})
+                    )
+                    capacities = [empty_server("a"), other]
+                    ((_, placement),) = plan_placements([pending_step], capacities, 10.0)
+                    self.assertEqual(set(placement.places.values()), {"a"})
+
+    def test_barred_server_waits_for_others(self) -> None:
+        """Right after a failure a task waits for another server that may run it."""
+        full = empty_server("b")
+        add_task(full, "x", 8, priority=0, pinned=True)
+        failed = frozenset({"a"})
+        pending_step = PendingStep(
+            state("new", 1, 4), 0.0, avoided_servers=failed, barred_servers=failed
+        )
+        self.assertEqual(plan_placements([pending_step], [empty_server("a"), full], 10.0), [])
+        ((_, placement),) = plan_placements([pending_step], [empty_server("a")], 10.0)
+        self.assertEqual(placement.places, {0: "a"})
+
 
 class TestLargeFleet(unittest.TestCase):
     """Test the cost of scheduling on large fleets."""
