Let a job of the own deployment return to a server it failed on

Change: free placements and reservations are tried without these servers first, then with them. The pause after a failure stays.

Evidence: test_job_returns_to_a_server_if_it_has_to fails before. Measured: tests of scheduler, placement and app pass.

--- a/libs/scheduler/src/catkinknot/scheduler/_planner.py
+++ b/libs/scheduler/src/catkinknot/scheduler/_planner.py
@@ -580,14 +580,21 @@
         return (job for job in jobs if job.state is JobState.WAITING and job.not_before_s <= now)
 
     def _free_plan(self, job: Job, now: float) -> Plan | None:
-        """Find a free placement outside the servers that this job must not use."""
-        avoid = self._forbidden_servers(job)
-        return self.fleet.find_free(
-            job.accelerators,
-            preemptible=_preemptible(job),
-            across_racks=job.kind.across_racks,
-            avoid=avoid | frozenset(job.failed_on),
-        )
+        """Find a free placement outside the servers that this job must not use.
+
+        Servers on which the job failed come last; it has paused since then.
+        """
+        forbidden = self._forbidden_servers(job)
+        for avoid in dict.fromkeys((forbidden | job.failed_on, forbidden)):
+            plan = self.fleet.find_free(
+                job.accelerators,
+                preemptible=_preemptible(job),
+                across_racks=job.kind.across_racks,
+                avoid=avoid,
+            )
+            if plan is not None:
+                return plan
+        return None
 
     def _backfill_plan(self, job: Job, reservation: Reservation, now: float) -> Plan | None:
         """Find a placement by preempting only jobs backfilled on the reserved servers."""
@@ -777,16 +784,18 @@
         if len(self._reservations) >= _MAX_RESERVATIONS or self._has_reservation(job):
             return
         reserved = frozenset().union(*(r.servers for r in self._reservations))
-        chosen = choose_servers(
-            self.fleet,
-            job.accelerators,
-            across_racks=job.kind.across_racks,
-            remaining=lambda name: self._remaining_s(name, now),
-            avoid=reserved | frozenset(job.failed_on),
-        )
-        if chosen is not None:
-            servers, wait_s = chosen
-            self._reservations.append(Reservation(job.job_id, servers, now + wait_s))
+        for avoid in dict.fromkeys((reserved | job.failed_on, reserved)):
+            chosen = choose_servers(
+                self.fleet,
+                job.accelerators,
+                across_racks=job.kind.across_racks,
+                remaining=lambda name: self._remaining_s(name, now),
+                avoid=avoid,
+            )
+            if chosen is not None:
+                servers, wait_s = chosen
+                self._reservations.append(Reservation(job.job_id, servers, now + wait_s))
+                return
 
     def _record_backfill(self, job: Job, plan: Plan) -> None:
         """Record a borrower that was placed on servers reserved for other jobs."""
--- a/libs/scheduler/tests/test_planner.py
+++ b/libs/scheduler/tests/test_planner.py
@@ -213,6 +213,28 @@
         self.assertIs(drop.code, ResultCode.JOB_CANNOT_RUN)
         self.assertEqual(len(job.failed_on), 3)
 
+    def test_job_returns_to_a_server_if_it_has_to(self):
+        """A job starts again on the server it failed on while the others are full.
+
+        Guards against a job that waits beside an idle server until others end
+        (the like of review 5).
+        """
+        harness = PlannerHarness()
+        first, second = harness.fill_with_borrowers()
+        failed_on = harness.planner.placement(second.job_id).slices[0].server
+        harness.planner.failed(second.job_id, 1, failed_on, 1.0)
+        starts = [d for d in harness.plan(20.0) if isinstance(d, StartJob)]
+        self.assertEqual([d.job for d in starts], [second])
+        self.assertIs(first.state, JobState.RUNNING)
+
+    def test_job_prefers_servers_it_did_not_fail_on(self):
+        """A job starts again on another server as long as one has capacity."""
+        harness = PlannerHarness()
+        job = harness.submit("other", "batch", 8)
+        self.assertIsNone(self.start_and_fail(harness, job, 0.0))
+        start = next(d for d in harness.plan(20.0) if isinstance(d, StartJob))
+        self.assertNotIn(start.placement.slices[0].server, job.failed_on)
+
     def test_non_idempotent_job_is_not_retried(self):
         """A job that is not idempotent ends with its first failure."""
         harness = PlannerHarness()
