Let a job use a quarantined server if no other can run it

Cause: a quarantine took its server away from all steps, also from those that can start nowhere else.

Change: a step that has waited for 1 s in a pool of which under half is used may start on a quarantined server, but not on one where it failed in the last 2 s. In a busier pool a quarantine keeps work away as before, as a server that fails all it starts would take more than its share of the work there. A server that refuses starts as unhealthy stays closed for its 2 s; that time had shared a field with the quarantine.

Evidence: test_server_that_fails_many_jobs fails before. Measured: tests of coordination's leader and of packing pass.

--- a/libs/coordination/src/catkinknot/coordination/_cluster_state.py
+++ b/libs/coordination/src/catkinknot/coordination/_cluster_state.py
@@ -232,7 +232,7 @@
             self._note_suspect_zones(suspect_zones)
             for view in self.servers.values():
                 listing = view.listing
-                view.room.schedulable = bool(
+                usable = bool(
                     view.listed
                     and listing is not None
                     and not listing.draining
@@ -240,9 +240,12 @@
                     and view.clock is not None
                     and view.unresponsive_since_s is None
                     and not view.lease_expired
-                    and now_s >= view.quarantined_until_s
+                    and now_s >= view.unhealthy_until_s
                     and view.read_end - view.seen_end <= MAX_UNACKNOWLEDGED_END_COUNT
                 )
+                quarantined = now_s < view.quarantined_until_s
+                view.room.schedulable = usable and not quarantined
+                view.room.quarantined = usable and quarantined
                 for task, occupant in view.room.occupants.items():
                     run = view.runs[task]
                     cores = (
--- a/libs/coordination/src/catkinknot/coordination/_orders.py
+++ b/libs/coordination/src/catkinknot/coordination/_orders.py
@@ -27,6 +27,9 @@
 RETRY_S = 0.15
 """Pause before an order is sent again."""
 
+UNHEALTHY_PAUSE_S = 2.0
+"""Time for which a server gets no new work after it refused a start as unhealthy."""
+
 SENDER_COUNT = 40
 """Number of orders sent concurrently."""
 
@@ -171,7 +174,7 @@
                 note_other_lifetime(cluster, view, reply)
                 return True
         if reply.outcome is OrderOutcome.UNHEALTHY:
-            view.quarantined_until_s = now_s + 2.0
+            view.unhealthy_until_s = now_s + UNHEALTHY_PAUSE_S
         if run.doubtful:
             return False
         cluster.end_unstarted(view, run, reply.outcome.value)
--- a/libs/coordination/src/catkinknot/coordination/_views.py
+++ b/libs/coordination/src/catkinknot/coordination/_views.py
@@ -110,7 +110,9 @@
         unanswered: Count of consecutive orders without an answer.
         watched: Whether a thread renews the lease.
         failed_jobs: Jobs whose runs failed on the server since its last completed run.
-        quarantined_until_s: When the server may get new work again.
+        quarantined_until_s: Time before which the server gets only work that can start
+            nowhere else.
+        unhealthy_until_s: Time before which it gets no work, as it refuses it.
         lease_expired: Whether its runs were declared lost when its lease expired and
             it has not answered since; some of the runs may have completed.
         shutdown_at_s: Earliest time at which the server shuts down, None unless it is
@@ -134,6 +136,7 @@
     watched: bool = False
     failed_jobs: set[str] = field(default_factory=set)
     quarantined_until_s: float = 0.0
+    unhealthy_until_s: float = 0.0
     lease_expired: bool = False
     shutdown_at_s: float | None = None
 
--- a/libs/coordination/tests/test_leader.py
+++ b/libs/coordination/tests/test_leader.py
@@ -508,6 +508,25 @@
         self.assert_runs_again(2)
         self.assertEqual(self.first.phase("a" * 16), JobPhase.COMPLETED)
 
+    def test_server_that_fails_many_jobs(self) -> None:
+        """A quarantine does not keep a job waiting while its server is the only one with room.
+
+        The quarantine is longer than a job may have nothing running (the like
+        of review 5).
+        """
+        self.fill("s1")
+        server = self.env.servers.by_id["s0"]
+        server.faults.fail_tasks = True
+        self.submit(job("a" * 16, step(1, gpu=4)), job("c" * 16, step(1, gpu=4)))
+        self.run_for(self.work_s + 0.5)
+        server.faults.fail_tasks = False
+        self.assertEqual(server.running(), {})
+        self.run_for(self.IDLE_LIMIT_S)
+        self.assertNotEqual(server.running(), {})
+        self.run_for(2 * (self.IDLE_LIMIT_S + self.work_s))
+        for name in ("a", "c"):
+            self.assertEqual(self.first.phase(name * 16), JobPhase.COMPLETED)
+
     def test_others_are_too_small(self) -> None:
         """The same with servers that no run of the job ever fits on."""
         small = Resources(4000, 8000, 1)
--- a/libs/packing/src/catkinknot/packing/_capacity.py
+++ b/libs/packing/src/catkinknot/packing/_capacity.py
@@ -47,6 +47,7 @@
         service: Pool that the server belongs to.
         capacity: All resources of the server.
         schedulable: Whether new tasks may start on the server.
+        quarantined: Whether only tasks that can start nowhere else may start.
         occupants: Task runs on the server, by name of the task; changed by
             `put` and `remove` only.
         used: Resources that the occupants use together.
@@ -61,6 +62,7 @@
     service: str
     capacity: Resources
     schedulable: bool = True
+    quarantined: bool = False
     occupants: dict[str, Occupant] = field(default_factory=dict)
     used: Resources = field(default_factory=Resources)
     reserved: dict[str, Resources] = field(default_factory=dict)
@@ -93,6 +95,13 @@
         """Return how many tasks of a step occupy the server."""
         return sum(occupant.step == step for occupant in self.occupants.values())
 
-    def accepts(self, service: str, step: Step) -> bool:
-        """Return whether tasks of a step may start here, regardless of free capacity."""
-        return self.schedulable and self.service == service and set(step.labels) <= self.labels
+    def accepts(self, service: str, step: Step, *, last_resort: bool = False) -> bool:
+        """Return whether tasks of a step may start here, regardless of free capacity.
+
+        Args:
+            service: Pool that the tasks must run in.
+            step: The step.
+            last_resort: Whether the tasks can start nowhere else.
+        """
+        usable = self.schedulable or (last_resort and self.quarantined)
+        return usable and self.service == service and set(step.labels) <= self.labels
--- a/libs/packing/src/catkinknot/packing/_plan.py
+++ b/libs/packing/src/catkinknot/packing/_plan.py
@@ -124,9 +124,12 @@
     """
     placements = []
     clear = urgent_only if clear is None else clear
-    round_state = _RoundState(OccupantGroups(capacities), urgent_only, clear)
+    quarantined = {capacity.service for capacity in capacities if capacity.quarantined}
+    round_state = _RoundState(OccupantGroups(capacities), urgent_only, clear, quarantined)
     for pending_step in sorted(pending, key=lambda candidate: candidate.order):
         placement = _find_placement(pending_step, capacities, now_s, round_state)
+        if placement is None:
+            placement = _find_last_resort(pending_step, capacities, now_s, round_state)
         if placement is None:
             _reserve_for_gang(pending_step, capacities, round_state)
             continue
@@ -143,6 +146,7 @@
         groups: All occupants, by the group that is preempted together.
         urgent_only: Servers on which only urgent or resumable work may start.
         clear: Servers on which only urgent work may start.
+        quarantined: Pools that have quarantined servers.
         victim_searches: How many searches for victims were made.
         unplaceable: Kinds of tasks that fit on no server; free capacity only
             shrinks during a round.
@@ -159,6 +163,7 @@
     groups: OccupantGroups
     urgent_only: frozenset[str]
     clear: frozenset[str]
+    quarantined: set[str]
     victim_searches: int = 0
     unplaceable: set[tuple] = field(default_factory=set)
     failed_gangs: dict[tuple, int] = field(default_factory=dict)
@@ -216,6 +221,32 @@
     return None
 
 
+def _find_last_resort(
+    pending_step: PendingStep,
+    capacities: list[ServerCapacity],
+    now_s: float,
+    round_state: _RoundState,
+) -> Placement | None:
+    """Find servers for a step that waits although most of its pool is idle.
+
+    Quarantined servers may be used too: a quarantine is to send work elsewhere,
+    and there is nowhere else.
+    """
+    step, service = pending_step.state.step, pending_step.state.job.policy.service
+    if service not in round_state.quarantined or now_s - pending_step.ready_s < IDLE_POOL_WAIT_S:
+        return None
+    if not round_state.is_idle(service, capacities):
+        return None
+    usable = tuple(
+        capacity
+        for capacity in capacities
+        if capacity.accepts(service, step, last_resort=True)
+        and capacity.server not in pending_step.barred_servers
+    )
+    placements = (place(req) for req in _requests_among(pending_step, usable, now_s))
+    return next((placement for placement in placements if placement is not None), None)
+
+
 def _place_gang(req: Request, kind: tuple, round_state: _RoundState) -> Placement | None:
     """Place a gang, unless a smaller one of its kind did not fit earlier in the round."""
     wanted = len(req.indexes)
--- a/libs/packing/tests/test_plan.py
+++ b/libs/packing/tests/test_plan.py
@@ -315,6 +315,35 @@
         ((_, placement),) = plan_placements([pending_step], [empty_server("a")], 10.0)
         self.assertEqual(placement.places, {0: "a"})
 
+    def test_quarantined_server_is_the_last_resort(self) -> None:
+        """A quarantined server is used by a step that waits while most of its pool is idle.
+
+        Neither at once, nor by a step that has just failed there, nor in a pool
+        that is half used.
+        """
+        quarantined = empty_server("a")
+        quarantined.schedulable, quarantined.quarantined = False, True
+        full = empty_server("b")
+        add_task(full, "x", 5, priority=0, pinned=True)
+        cases = (
+            ("waited", 1.0, frozenset(), [quarantined, full], {0: "a"}),
+            ("at once", 0.9, frozenset(), [quarantined, full], None),
+            ("failed there", 1.0, frozenset("a"), [quarantined, full], None),
+            ("others have capacity", 1.0, frozenset(), [quarantined, empty_server("c")], {0: "c"}),
+        )
+        for name, now_s, barred, capacities, places in cases:
+            with self.subTest(name):
+                pending_step = PendingStep(
+                    state("new", 1, 4), 0.0, avoided_servers=barred, barred_servers=barred
+                )
+                chosen = plan_placements([pending_step], capacities, now_s)
+                self.assertEqual([p.places for _, p in chosen], [places] if places else [])
+                for capacity in capacities:
+                    capacity.reserved.clear()
+        add_task(full, "y", 3, priority=0, pinned=True)
+        pending_step = PendingStep(state("new", 1, 4), 0.0)
+        self.assertEqual(plan_placements([pending_step], [quarantined, full], 1.0), [])
+
 
 class TestLargeFleet(unittest.TestCase):
     """Test the cost of scheduling on large fleets."""
