Acknowledge no end through a replaced lifetime, and ask again soon

A renewal could still go to a lifetime that an order had just shown to be replaced, with the cursor of its ends. And after a start, a renewal that withholds the acknowledgement paused for 0.4 s as with an end that is never acknowledged, though the answer to the start takes milliseconds; the next ends of the server would be read that much later.

Change: the cursor of a replaced lifetime is 0; while a run is unproven the renewal is repeated after 0.05 s.

Measured: test_no_end_of_the_next_lifetime_is_acknowledged; the tests of leader, orders and leases pass.

--- a/libs/coordination/src/catkinknot/coordination/_views.py
+++ b/libs/coordination/src/catkinknot/coordination/_views.py
@@ -17,7 +17,7 @@
 
 
 AVOIDANCE_S = 2.0
-"""Time after a failure on a server for which a step returns there only if it has to."""
+"""Time after a failure on a server for which a step waits for another one, if there is any."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -154,7 +154,8 @@
         It is 0 while a run may be in the server's next lifetime: the numbers of
         ends start anew there, and its ends would be forgotten unread.
         """
-        return 0 if any(run.unproven for run in self.runs.values()) else self.seen_end
+        elsewhere = self.replaced or any(run.unproven for run in self.runs.values())
+        return 0 if elsewhere else self.seen_end
 
     def note_clock(self, clock_ms: int, now_s: float) -> None:
         """Update the clock from an answer, unless the reading is missing (0)."""
--- a/libs/coordination/src/catkinknot/coordination/_watch.py
+++ b/libs/coordination/src/catkinknot/coordination/_watch.py
@@ -29,8 +29,11 @@
 IDLE_RETRY_S = 0.8
 """The same while the server has no runs."""
 
-UNACKNOWLEDGED_POLL_S = 0.4
-"""Pause between renewals while an end can't be acknowledged; the server doesn't wait then."""
+WITHHELD_POLL_S = 0.4
+"""Pause between renewals at a server with a withheld end, which answers without waiting."""
+
+UNPROVEN_POLL_S = 0.05
+"""The same while a run may be in the server's next lifetime, until the start is answered."""
 
 
 class Watcher:
@@ -83,8 +86,10 @@
                 RECORD_WAIT_S
             ):
                 stopped.wait(RETRY_S)
+            elif view.withheld_end is not None:
+                stopped.wait(WITHHELD_POLL_S)
             elif view.ack_cursor < view.read_end:
-                stopped.wait(UNACKNOWLEDGED_POLL_S)
+                stopped.wait(UNPROVEN_POLL_S)
 
     def hold(self, view: ServerView, wait_s: float) -> HoldAnswer:
         """Renew a server's lease once and apply the answer.
--- a/libs/coordination/tests/test_views.py
+++ b/libs/coordination/tests/test_views.py
@@ -2,8 +2,8 @@
 
 import unittest
 
-from catkinknot.coordination._views import ClockReading, ServerView
-from catkinknot.jobs import Resources
+from catkinknot.coordination._views import ClockReading, RunView, ServerView
+from catkinknot.jobs import Resources, StepKey
 from catkinknot.packing import ServerCapacity
 
 SLOWEST_RATE = 0.98
@@ -59,6 +59,25 @@
         self.assertEqual(view.lease_end_s, 0.0)
 
 
+class TestAckCursor(unittest.TestCase):
+    """Acknowledgement of ends."""
+
+    def test_no_end_of_the_next_lifetime_is_acknowledged(self) -> None:
+        """Ends are acknowledged only while every run is known to be in this lifetime."""
+        view = server_view()
+        view.seen_end = 57
+        self.assertEqual(view.ack_cursor, 57)
+        run = RunView("a.0.0.0", StepKey("a", 0, 0), 0, 1, READ_S)
+        view.runs[run.task] = run
+        self.assertEqual(view.ack_cursor, 57)
+        run.sent = True
+        self.assertEqual(view.ack_cursor, 0)
+        run.confirmed = True
+        self.assertEqual(view.ack_cursor, 57)
+        view.replaced = True
+        self.assertEqual(view.ack_cursor, 0)
+
+
 class TestReadings(unittest.TestCase):
     """Readings of a server's clock."""
 
