--- a/libs/coordination/src/catkinknot/coordination/_cluster_state.py
+++ b/libs/coordination/src/catkinknot/coordination/_cluster_state.py
@@ -1,7 +1,6 @@
 """State of the cluster as the leader knows it."""
 
 import threading
-from collections import defaultdict
 from collections.abc import Callable, Iterable
 
 from loguru import logger
@@ -26,6 +25,7 @@
 from ._servers import Listing
 from ._store import JOBS, RUNS
 from ._views import CLOCK_DRIFT, LEASE_MARGIN_S, JobView, RunView, ServerView
+from ._zones import SuspectZones
 
 __all__ = ["ACCELERATOR_CORES", "QUARANTINE_S", "ClusterState"]
 
@@ -45,10 +45,6 @@
 """Unacknowledged ends above which a server gets no new work; one answer lists 500 at most."""
 
 
-SUSPECT_SERVER_COUNT = 3
-"""Unresponsive servers of an availability zone from which the zone may be cut off."""
-
-
 class ClusterState:
     """All jobs, servers and runs known to the leader; methods acquire the lock themselves.
 
@@ -96,7 +92,7 @@
         self.servers: dict[str, ServerView] = {}
         self._expired_lifetimes: set[str] = set()
         self._replaced_lifetimes: set[str] = set()
-        self._suspect_zones: set[str] = set()
+        self._zones = SuspectZones()
 
     # Jobs
 
@@ -228,8 +224,7 @@
         """Update which servers may get new work, and the cost of stopping each run."""
         with self.lock:
             now_s = self.clock.now()
-            suspect_zones = self._find_suspect_zones()
-            self._note_suspect_zones(suspect_zones)
+            suspect_zones = self._zones.update(self.servers.values())
             for view in self.servers.values():
                 listing = view.listing
                 usable = bool(
@@ -259,37 +254,6 @@
                     if run.stopping:
                         occupant.pinned = True
 
-    def _find_suspect_zones(self) -> set[str]:
-        """Return the zones that may be cut off.
-
-        Several of their servers are unresponsive, and none has answered since
-        the first of these fell silent. The others have no runs, so no call has
-        shown yet whether they answer, and a gang would be started in vain.
-        """
-        silent_since_s: dict[str, list[float]] = defaultdict(list)
-        answered_s: dict[str, float] = defaultdict(lambda: float("-inf"))
-        for view in self.servers.values():
-            if view.listing is None or not view.listed:
-                continue
-            zone = view.listing.zone
-            if view.unresponsive_since_s is not None:
-                silent_since_s[zone].append(view.unresponsive_since_s)
-            if view.last_response_s is not None:
-                answered_s[zone] = max(answered_s[zone], view.last_response_s)
-        return {
-            zone
-            for zone, since_s in silent_since_s.items()
-            if len(since_s) >= SUSPECT_SERVER_COUNT and answered_s[zone] < min(since_s)
-        }
-
-    def _note_suspect_zones(self, zones: set[str]) -> None:
-        """Log which zones have become suspect, and which no longer are."""
-        for zone in sorted(zones - self._suspect_zones):
-            self._log.bind(zone=zone).warning("A zone may be cut off; it gets no new work.")
-        for zone in sorted(self._suspect_zones - zones):
-            self._log.bind(zone=zone).info("A zone that may have been cut off gets work again.")
-        self._suspect_zones = zones
-
     def expire_leases(self) -> None:
         """End the runs of unresponsive servers whose leases have expired."""
         with self.lock:
