--- a/libs/coordination/tests/test_leader_histories.py
+++ b/libs/coordination/tests/test_leader_histories.py
@@ -21,6 +21,12 @@
 SERVERS = 4
 DEADLINE_S = 1e9
 
+SLOWEST_RATE = 0.98
+"""A server's clock may be 2% slow."""
+
+STOP_S = 0.2
+"""A stop takes this long at most."""
+
 START_AFTER_COMPLETION_S = 1.0
 """Time after a job was shown as completed in which a start that was under way may arrive."""
 
@@ -35,17 +41,22 @@
 class History:
     """One random history."""
 
-    def __init__(self, seed: int, *, busy_topics: bool = False) -> None:
+    def __init__(self, seed: int, *, busy_topics: bool = False, slow: bool = False) -> None:
         """Create two instances, one of which leads.
 
         Args:
             seed: Seed of the actions.
             busy_topics: Whether one topic of a leader may be busy for some time.
+            slow: Whether the clocks of the servers are slow, their stops take time, and
+                their answers to orders don't name the lifetime that gave them.
         """
+        self.slow = slow
         self.rng = random.Random(seed)
         self.busy_topics = busy_topics
         self.env = Environment(SERVERS)
         self.instances = [Instance(self.env, "a"), Instance(self.env, "b")]
+        for server in self.env.servers.all():
+            self.slow_down(server)
         self.instances[0].lead()
         self.submitted: list[str] = []
         self.cancelled: dict[str, float] = {}
@@ -124,7 +135,15 @@
 
     def crash_server(self) -> None:
         """Restart a server under its identity."""
-        self.env.servers.add(self.rng.choice(list(self.env.servers.by_id)), CAPACITY)
+        self.slow_down(
+            self.env.servers.add(self.rng.choice(list(self.env.servers.by_id)), CAPACITY)
+        )
+
+    def slow_down(self, server) -> None:
+        """Give a server the slowest clock and the longest stops, if the history is slow."""
+        if self.slow:
+            server.clock_rate, server.stop_s = SLOWEST_RATE, STOP_S
+            server.faults.anonymous = True
 
     def inject_store_fault(self) -> None:
         """Inject a random fault between an instance and the store."""
@@ -260,6 +279,19 @@
             with self.subTest(seed=seed):
                 History(seed).run()
 
+    def test_seeds_with_slow_servers(self) -> None:
+        """No history breaks an invariant while clocks are slow and stops take time."""
+        for seed in range(SEEDS):
+            with self.subTest(seed=seed):
+                History(seed, slow=True).run()
+
+    def test_late_start_after_its_gang_is_done(self) -> None:
+        """A leader finds a late start of its predecessor before it uses the capacity.
+
+        The gang of the start is done by then, so the ledger names no run.
+        """
+        History(172, slow=True).run()
+
     def test_seeds_with_busy_topics(self) -> None:
         """No history breaks an invariant while phases and runs are stored out of order."""
         for seed in range(SEEDS):
