--- a/standins/src/catkinknot_standins/_platform_http.py
+++ b/standins/src/catkinknot_standins/_platform_http.py
@@ -238,7 +238,9 @@
             reply = server.order(order)
         if reply.outcome is OrderOutcome.NO_ANSWER:
             return _send_truncated(start_response)
-        fields = {"clock-ms": server.now_ms(), "born": server.listing.started_at_ms}
+        fields = {"clock-ms": server.now_ms()}
+        if reply.started_at_ms:
+            fields["born"] = reply.started_at_ms
         if reply.outcome is OrderOutcome.DONE:
             return _answer(start_response, "200 OK", fields)
         return _answer(start_response, "409 Conflict", fields | {"reason": _REASONS[reply.outcome]})
--- a/standins/src/catkinknot_standins/soak/_environment.py
+++ b/standins/src/catkinknot_standins/soak/_environment.py
@@ -10,6 +10,7 @@
 from catkinknot.model import SystemClock
 from catkinknot_standins import (
     KeyedStore,
+    ServerFaults,
     StoreView,
     TaskServer,
     open_http,
@@ -27,6 +28,7 @@
 KEY = "key-1"
 SERVICE = "render"
 RUN_TIME_S = 0.8
+STOP_S = 0.2
 HEARTBEAT_S = 0.5
 DRAIN_S = 2.0
 HTTP_THREAD_COUNT = 12
@@ -202,7 +204,13 @@
         )
         rate = (0.985, 1.0, 1.015)[(position + number) % 3]
         return DriftingServer(
-            listing, self.clock, work_s=RUN_TIME_S, ahead_ms=position * 100_000, rate=rate
+            listing,
+            self.clock,
+            work_s=RUN_TIME_S,
+            stop_s=STOP_S,
+            faults=ServerFaults(anonymous=True),
+            ahead_ms=position * 100_000,
+            rate=rate,
         )
 
     def _publish_servers(self) -> None:
