--- a/review/common2/worker.py
+++ b/review/common2/worker.py
@@ -11,6 +11,7 @@
 HEARTBEAT_S = 1.5
 MAX_HOLD_MS = 10_000
 STOP_S = 0.1
+LASTING_S = float("inf")
 POLL_S = 0.01
 LISTED_ENDS = 500
 
@@ -27,7 +28,9 @@
     stop_at_s: float | None = None
 
     def percent(self, now_s: float) -> int:
-        """Return the progress."""
+        """Return the progress, which for a unit that lasts is whether it is at work."""
+        if self.work_s == LASTING_S:
+            return 100
         return min(100, int(100 * (now_s - self.began_s) / self.work_s))
 
 
@@ -35,13 +38,16 @@
     """One worker.
 
     The `spec` of a job is JSON here: ``work_s`` is how long a work unit runs, and
-    ``fails`` lists the indexes of the units that end `failed`.
+    ``fails`` lists the indexes of the units that end `failed`, and ``lasts`` says that they run
+    until they are stopped.
 
     Attributes:
         starts: Time, task and run of each start.
         ends: Time, number, task, run and how of each end.
         acked: When ends were taken note of, and the number of the last one, in order.
         lost: Time, task and run of each run that a crash ended.
+        held_s: When the last renewal came.
+        wait_s: How long that renewal may wait for an end.
     """
 
     def __init__(
@@ -64,6 +70,8 @@
         self.ends: list[tuple[float, int, str, int, str]] = []
         self.acked: list[tuple[float, int]] = []
         self.lost: list[tuple[float, str, int]] = []
+        self.held_s = 0.0
+        self.wait_s = 0.0
         self.address = ""
         self._store, self._say = store, say
         self._lock = threading.RLock()
@@ -206,7 +214,8 @@
             index = int(task.rpartition(".")[2])
             now_s = time.monotonic()
             fails = index in spec.get("fails", [])
-            self._runs[task] = Run(task, run, now_s, spec["work_s"], fails)
+            work_s = LASTING_S if spec.get("lasts") else spec["work_s"]
+            self._runs[task] = Run(task, run, now_s, work_s, fails)
             self.starts.append((now_s, task, run))
             if len(self.starts) <= 300:
                 self._say(f"{self.ident} started {task} run {run}")
@@ -226,10 +235,12 @@
 
     def hold(self, body: dict) -> tuple[int, dict]:
         """Renew the lease, forget ends, and return what runs and what has ended."""
-        end_s = time.monotonic() + int(body.get("wait-ms", 0)) / 1000
         with self._lock:
             if self._fenced(body):
                 return 409, self._answer(reason="fence")
+            self.held_s = time.monotonic()
+            self.wait_s = int(body.get("wait-ms", 0)) / 1000
+            end_s = self.held_s + self.wait_s
             if "until-ms" in body:
                 self._extend(int(body["until-ms"]))
             cursor = min(int(body.get("ack-cursor", 0)), self._last_end)
