review: end a case's processes also when it is told to stop, and report faults of a script as not run

Cause: an alarm ended a script without ending its instances, and an exception in a script gave exit status 1, which stands for a broken rule. Change: both end as 'not run' with status 2, after all processes are ended.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -93,5 +93,4 @@
 
 
 if __name__ == "__main__":
-    signal.alarm(118)
     run_case(case, Path(sys.argv[1]))
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,6 +1,5 @@
 """A job's last attempt fails, and the leader is killed before the job's end is stored."""
 
-import signal
 import sys
 import time
 from pathlib import Path
@@ -81,5 +80,4 @@
 
 
 if __name__ == "__main__":
-    signal.alarm(118)
     run_case(case, Path(sys.argv[1]))
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -65,5 +65,4 @@
 
 
 if __name__ == "__main__":
-    signal.alarm(118)
     run_case(case, Path(sys.argv[1]))
--- a/review/common2/system.py
+++ b/review/common2/system.py
@@ -26,6 +26,8 @@
 SERVICE = "render"
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 RESTART_DELAY_S = 0.5
+LONGEST_S = 112
+INSTANCES = 3
 
 CONTACT_S = 3.0
 CANCEL_S = 3.0
@@ -95,9 +97,16 @@
             "platform.min-ttl-ms": "1000",
         }
         self._process: subprocess.Popen | None = None
+        self._lock = threading.Lock()
+        self._ended = False
 
     def start(self, seeds: list[str]) -> None:
-        """Start the process."""
+        """Start the process, unless the case is over."""
+        with self._lock:
+            if not self._ended:
+                self._start(seeds)
+
+    def _start(self, seeds: list[str]) -> None:
         fields = self._fields | {"seeds": ",".join(seeds)}
         self._settings.write_text("".join(f"{k}={v}\n" for k, v in fields.items()))
         deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
@@ -124,16 +133,18 @@
         timer.start()
 
     def end(self) -> None:
-        """End the process."""
-        if self._process is not None:
-            self._process.kill()
-            self._process.wait()
+        """End the process for good."""
+        with self._lock:
+            self._ended = True
+            if self._process is not None:
+                self._process.kill()
+                self._process.wait()
 
 
 class System:
     """The deployment; use it as a context manager."""
 
-    def __init__(self, folder: Path, *, instances: int = 3) -> None:
+    def __init__(self, folder: Path) -> None:
         """Create the store and the settings; `up` starts the processes."""
         self._began_s = time.monotonic()
         self._record = (folder / "record.txt").open("w")
@@ -145,7 +156,7 @@
         self.on_run_record: Callable[[str, bytes], None] = lambda *_: None
         self.leader = ""
         self.workers: list[Worker] = []
-        self.instances = [Instance(self, n) for n in range(1, instances + 1)]
+        self.instances = [Instance(self, n) for n in range(1, INSTANCES + 1)]
         self.say(f"trouble: {TROUBLE}")
 
     def __enter__(self) -> "System":
@@ -313,22 +324,29 @@
     return ports
 
 
-def run_case(case, folder: Path, **options: object) -> None:
+def run_case(case: Callable[["System"], str], folder: Path) -> None:
     """Run a case and exit as the review asks: 0 held, 1 broken, 2 could not run."""
-    system = System(folder, **options)
+    for signum in (signal.SIGALRM, signal.SIGTERM, signal.SIGINT):
+        signal.signal(signum, _give_up)
+    signal.alarm(LONGEST_S)
     code = NOT_RUN
-    with system:
+    with System(folder) as system:
         try:
             broken = case(system)
-            system.say("BROKEN: " + broken if broken else "the rule held")
-            print("BROKEN: " + broken if broken else "the rule held")
+            text = f"BROKEN: {broken}" if broken else "the rule held"
             code = BROKEN if broken else HELD
-        except NotRunError as exc:
-            system.say(f"not run: {exc}")
-            print(f"not run: {exc}")
+        except Exception as exc:
+            text = f"not run: {type(exc).__name__}: {exc}"
+        system.say(text)
+        print(text)
     sys.exit(code)
 
 
+def _give_up(signum: int, _: object) -> None:
+    """End the case, so that its processes are ended as well."""
+    raise NotRunError(f"ended by {signal.Signals(signum).name}")
+
+
 def _config() -> dict:
     """Return a configuration like that of the small site."""
     rows = [("plate", 1, 4, 1000, 3.0), ("proof", 0, 3, 250, 1.5), ("colour", 2, 3, 3000, 3.0)]
