Send no start after another leader may have begun

The leader froze for 4 s as the store's answer to the record of a run was on its way; its successor started the task elsewhere; the recorded server restarted; the old leader woke and sent the start, which the server executed.

Cause: a start was sent on the strength of its record, whatever its age. Only the fencing token of the server refused a superseded leader, and it does not outlive a restart.

Ruled out: the record, which the store accepted before the successor's fence.

Change: a leader sends starts only for 1.5 s after its last accepted leader record was first sent, less than the election timeout; the check is made on the open connection, so that it holds for starts that wait for one. Later starts wait for the next record. A resigned leader sends none. A successor that begins within that time keeps its predecessor's unseen runs open until it is over, and stops them in the next lifetime of their server. The clock counts the time of a suspension.

--- a/app/src/catkinknot/node/_node.py
+++ b/app/src/catkinknot/node/_node.py
@@ -169,7 +169,7 @@
             clock=self.clock,
             observe=self.metrics.observe_store,
         )
-        self.servers = PlatformServerClient()
+        self.servers = PlatformServerClient(self.clock)
         self.listing = PlatformListing(self.store)
         self.registry = JobRegistry()
         self.jobs_tail = Tail(
--- a/libs/coordination/src/catkinknot/coordination/_cluster_state.py
+++ b/libs/coordination/src/catkinknot/coordination/_cluster_state.py
@@ -66,6 +66,7 @@
         on_server_removed: Callable[[Listing], None] = lambda listing: None,
         fence_s: float,
         max_lease_s: float,
+        inherited_until_s: float,
     ) -> None:
         """Create an empty state.
 
@@ -78,6 +79,7 @@
             fence_s: When earlier leaders were fenced.
             max_lease_s: How long after `fence_s` leases granted by earlier
                 leaders may last, and any lease after the order that grants it.
+            inherited_until_s: When no earlier leader may send a start any more.
         """
         self._recorder = recorder
         self.clock = clock
@@ -85,6 +87,7 @@
         self._on_server_removed = on_server_removed
         self._max_lease_s = max_lease_s * CLOCK_DRIFT + LEASE_MARGIN_S
         self._inherited_lease_end_s = fence_s + self._max_lease_s
+        self._inherited_until_s = inherited_until_s
         self._log = logger.bind(part="board")
         self.lock = threading.RLock()
         self.changed = threading.Event()
@@ -125,6 +128,8 @@
         """Adopt a step with the runs that an earlier leader recorded."""
         state = StepState(key, view.job.steps[key.step], view.job, tasks)
         view.steps[key] = state
+        now_s = self.clock.now()
+        settled = now_s >= self._inherited_until_s
         for i in state.assigned():
             task = tasks[i]
             server = self._server_view(task.server)
@@ -133,8 +138,9 @@
                 key,
                 i,
                 task.run,
-                self.clock.now(),
-                start_resolved_s=float("-inf"),
+                now_s,
+                start_resolved_s=float("-inf") if settled else None,
+                inherited_until_s=self._inherited_until_s,
                 sent=True,
                 checkpoint=task.checkpoint,
             )
@@ -295,7 +301,8 @@
 
         Two lifetimes of a server have the same identity, so a start may have
         reached the next one. A run that the ended lifetime never showed is
-        stopped there, and its task starts again only when that is done.
+        stopped there, and its task starts again only when that is done. So is a
+        run whose start may still arrive.
 
         Args:
             view: The ended lifetime.
@@ -306,8 +313,9 @@
         with self.lock:
             view.replaced = True
             self._replaced_lifetimes.add(view.lifetime)
+            now_s = self.clock.now()
             for run in list(view.runs.values()):
-                if run.unproven and other is not None:
+                if run.may_start_in_next_lifetime(now_s) and other is not None:
                     self._move_run(view, run, other)
             self.mark_server_lost(view, reason)
 
--- a/libs/coordination/src/catkinknot/coordination/_election.py
+++ b/libs/coordination/src/catkinknot/coordination/_election.py
@@ -11,6 +11,7 @@
 from catkinknot.model import Clock
 
 from ._leader import Claim, Leader, lead
+from ._orders import START_VALIDITY_S
 from ._recorder import LEAD_KEY, PRODUCER, make_leader_record
 from ._store import JOBS, RUNS, Fence, Record, Store
 from ._tail import Tail
@@ -27,6 +28,9 @@
 RESIGN_TIMEOUT_S = 1.5
 """Longest wait for the record of a resignation to be written."""
 
+START_MARGIN_S = 0.1
+"""Time after the end of a predecessor's leadership by which its last start has been sent."""
+
 MAX_STORE_SILENCE_S = 0.8
 """Longest time since the last answer of the store for a candidate to claim."""
 
@@ -89,6 +93,8 @@
         self._make_leader = make_leader
         self._rank = rank
         self._vacant_at_s = clock.now() + STARTUP_ELECTION_TIMEOUT_S
+        self._start_end_s = float("-inf")
+        self._earlier_start_end_s = float("-inf")
         self._answered_s: float | None = None
         self._nonce = ""
         self._resigned = threading.Event()
@@ -115,16 +121,30 @@
             self._log.bind(epoch=epoch, leader=leader_record.get("instance")).info(
                 "A new leader is known."
             )
+            self._earlier_start_end_s = max(self._earlier_start_end_s, self._start_end_s)
         if epoch >= self.epoch:
             self.epoch = epoch
             self._nonce = nonce
-            if leader_record.get("resigned"):
+            resigned = bool(leader_record.get("resigned"))
+            self._note_start_end(resigned=resigned and fresh)
+            if resigned:
                 self._vacant_at_s = min(self._vacant_at_s, self._clock.now())
                 self.leader = ""
             elif fresh:
                 self._vacant_at_s = self._clock.now() + ELECTION_TIMEOUT_S
                 self.leader = str(leader_record.get("instance", ""))
 
+    def _note_start_end(self, *, resigned: bool) -> None:
+        """Note until when the leader of a record that was just read may send starts.
+
+        A leader that has resigned sends none. A record from a snapshot hides those of
+        leaders before, which may not have noticed their end.
+        """
+        if resigned:
+            self._start_end_s = float("-inf")
+        else:
+            self._start_end_s = self._clock.now() + START_VALIDITY_S + START_MARGIN_S
+
     def resign(self) -> None:
         """Stop leading for good, because the instance is about to shut down."""
         self._resigned.set()
@@ -190,6 +210,7 @@
         nonce = secrets.token_hex(8)
         number = secrets.randbelow(MAX_FIRST_NUMBER)
         sent_s = self._clock.now()
+        inherited_until_s = max(self._earlier_start_end_s, self._start_end_s)
         leader_record = make_leader_record(epoch, self._instance, nonce)
         try:
             self._store.append(
@@ -209,7 +230,8 @@
         runs_number = secrets.randbelow(MAX_FIRST_NUMBER)
         self._fence_runs(Fence(PRODUCER, epoch, runs_number), leader_record.value)
         self._log.bind(epoch=epoch).info("This instance has claimed the leadership.")
-        return Claim(epoch, nonce, sent_s, {JOBS: number + 1, RUNS: runs_number + 1})
+        numbers = {JOBS: number + 1, RUNS: runs_number + 1}
+        return Claim(epoch, nonce, sent_s, numbers, inherited_until_s)
 
     def _fence_runs(self, fence: Fence, value: bytes) -> None:
         """Fence earlier leaders in the topic of runs; raises a `StoreError`.
--- a/libs/coordination/src/catkinknot/coordination/_leader.py
+++ b/libs/coordination/src/catkinknot/coordination/_leader.py
@@ -53,12 +53,14 @@
         nonce: Random value that identifies the claim.
         sent_s: When the claim was sent.
         numbers: Next sequence number, by topic.
+        inherited_until_s: When no earlier leader may send a start any more.
     """
 
     epoch: int
     nonce: str
     sent_s: float
     numbers: dict[str, int]
+    inherited_until_s: float
 
 
 class Leader:
@@ -113,6 +115,8 @@
             token=claim.epoch,
             clock=clock,
             lease_end=self._lease_end,
+            renewed_s=lambda: self.recorder.renewed_s,
+            after_renewal=self.recorder.after_renewal,
             on_fenced=self.depose,
             stopped=self.stopped,
         )
@@ -123,6 +127,7 @@
             on_server_removed=calls.close_connections,
             fence_s=clock.now(),
             max_lease_s=MAX_LEASE_AFTER_WRITE_S,
+            inherited_until_s=claim.inherited_until_s,
         )
         self._watcher = Watcher(
             self.cluster,
--- a/libs/coordination/src/catkinknot/coordination/_orders.py
+++ b/libs/coordination/src/catkinknot/coordination/_orders.py
@@ -13,11 +13,19 @@
 from ._servers import OrderOutcome, OrderReply, ServerCalls, StartOrder, StopOrder
 from ._views import RunView, ServerView
 
-__all__ = ["LEASE_S", "OrderSender"]
+__all__ = ["LEASE_S", "START_VALIDITY_S", "OrderSender"]
 
 LEASE_S = 7.0
 """Time after a renewal for which a server keeps its runs."""
 
+START_VALIDITY_S = 1.5
+"""Time after the leader sent its last accepted leader record for which it may send starts.
+
+A server that has restarted knows no fencing token, so a leader that was
+superseded unnoticed must not send any. It is shorter than the election timeout,
+so a successor rarely has to wait for the rest of it.
+"""
+
 START_ATTEMPT_COUNT = 3
 """Number of times a start is sent before the run is abandoned."""
 
@@ -44,6 +52,8 @@
         token: int,
         clock: Clock,
         lease_end: Callable[[], float],
+        renewed_s: Callable[[], float],
+        after_renewal: Callable[[Callable[[], None]], None],
         on_fenced: Callable[[], None],
         stopped: threading.Event,
         pool: Executor | None = None,
@@ -55,6 +65,8 @@
             token: Fencing token: the epoch of the leader.
             clock: Source of time.
             lease_end: Returns the latest time to which a lease may be granted.
+            renewed_s: Returns when the last accepted leader record was sent.
+            after_renewal: Runs an action once another leader record has been accepted.
             on_fenced: Called when a server has seen the token of a later leader.
             stopped: Set when the leadership has ended.
             pool: Executor for the orders; a new thread pool by default.
@@ -63,6 +75,8 @@
         self._token = token
         self._clock = clock
         self._lease_end = lease_end
+        self._renewed_s = renewed_s
+        self._after_renewal = after_renewal
         self._on_fenced = on_fenced
         self._stopped = stopped
         self._pool = pool or ThreadPoolExecutor(SENDER_COUNT, thread_name_prefix="order")
@@ -100,16 +114,21 @@
             order = self._make_start_order(cluster, view, run)
             if order is None or self._stopped.is_set():
                 return
-            clock_age_ms = view.clock_age_ms(self._clock.now())
+            now_s = self._clock.now()
             reply = self._calls.start(view.listing, order)
-            self._log.bind(
+            log = self._log.bind(
                 task=run.task,
                 run=run.run,
                 server=view.lifetime,
                 until_ms=order.until_ms,
-                clock_age_ms=clock_age_ms,
-                answer=reply.outcome.value,
-            ).info("A start was sent.")
+                clock_age_ms=view.clock_age_ms(now_s),
+                valid_ms=int(max(0.0, order.send_by_s - now_s) * 1000),
+            )
+            if reply.outcome is OrderOutcome.EXPIRED:
+                log.info("A start waits until the leadership is renewed.")
+                self._after_renewal(lambda: self.start(cluster, view, run))
+                return
+            log.bind(answer=reply.outcome.value).info("A start was sent.")
             note_order(cluster, view, reply.outcome is not OrderOutcome.NO_ANSWER)
             if self._handle_start_reply(cluster, view, run, reply):
                 return
@@ -145,7 +164,13 @@
             until_ms = view.grant_lease(min(now_s + LEASE_S, self._lease_end()), now_s)
             run.sent = True
             return StartOrder(
-                run.task, run.run, job.payload, until_ms, self._token, task.checkpoint
+                run.task,
+                run.run,
+                job.payload,
+                until_ms,
+                self._token,
+                task.checkpoint,
+                send_by_s=self._renewed_s() + START_VALIDITY_S,
             )
 
     def _handle_start_reply(
--- a/libs/coordination/src/catkinknot/coordination/_recorder.py
+++ b/libs/coordination/src/catkinknot/coordination/_recorder.py
@@ -59,6 +59,8 @@
 
     Attributes:
         confirmed_s: When the last accepted append was sent.
+        renewed_s: When the last accepted leader record was first sent, minus infinity
+            from the resignation on.
         fenced: Whether another leader has taken over.
         resigned: Set when the store has the record of the resignation.
     """
@@ -97,11 +99,13 @@
         self._cond = threading.Condition()
         self._dirty: dict[str, dict[str, bytes]] = {RUNS: {}, JOBS: {}}
         self._callbacks: list[Callable[[], None]] = []
+        self._renewal_callbacks: list[Callable[[], None]] = []
         self._leader_record_at_s = confirmed_s
         self._phases_written_s = float("-inf")
         self._append_duration_s = 0.0
         self._log = logger.bind(part="recorder", epoch=epoch)
         self.confirmed_s = confirmed_s
+        self.renewed_s = confirmed_s
         self.fenced = False
         self.resigned = threading.Event()
 
@@ -109,7 +113,7 @@
         """Write the record that lets another instance take over, before anything else waits."""
         with self._cond:
             self._leader_record = self._resignation
-            self._leader_record_at_s = float("-inf")
+            self._leader_record_at_s = self.renewed_s = float("-inf")
             self._cond.notify_all()
 
     def put(self, topic: str, key: str, value: bytes) -> None:
@@ -124,6 +128,13 @@
             self._callbacks.append(action)
             self._cond.notify_all()
 
+    def after_renewal(self, action: Callable[[], None]) -> None:
+        """Run an action once the store has accepted another leader record, which is due now."""
+        with self._cond:
+            self._renewal_callbacks.append(action)
+            self._leader_record_at_s = float("-inf")
+            self._cond.notify_all()
+
     def run(self, topic: str, stopped: threading.Event) -> None:
         """Write the batches of one topic until stopped or fenced.
 
@@ -166,13 +177,23 @@
                 batch.setdefault(self._leader_record.key, self._leader_record.value)
         return batch
 
-    def _note_leader_record(self, records: list[Record], sent_s: float) -> None:
-        """Note when the current leader record was written."""
+    def _note_leader_record(self, records: list[Record], first_sent_s: float) -> None:
+        """Note that the current leader record was written, and call what waits for it.
+
+        Other instances may have read the record since its first attempt.
+        """
         with self._cond:
-            if self._leader_record in records:
-                self._leader_record_at_s = sent_s
             if self._resignation in records:
                 self.resigned.set()
+            if self._leader_record not in records:
+                return
+            self._leader_record_at_s = first_sent_s
+            if self.resigned.is_set():
+                return
+            self.renewed_s = first_sent_s
+            callbacks, self._renewal_callbacks = self._renewal_callbacks, []
+        for action in callbacks:
+            action()
 
     def _phases_deferred(self) -> bool:
         """Return whether phases wait because the store is slow and has just received a batch."""
@@ -193,6 +214,7 @@
         """Append one batch, repeatedly until its outcome is known."""
         fence = Fence(PRODUCER, self._epoch, self._numbers[topic])
         append_timeout_s = FIRST_APPEND_TIMEOUT_S
+        first_sent_s = self._clock.now()
         while not stopped.is_set():
             sent_s = self._clock.now()
             try:
@@ -224,6 +246,6 @@
             if topic == JOBS:
                 self._phases_written_s = self._clock.now()
                 self._append_duration_s = self._phases_written_s - sent_s
-            self._note_leader_record(records, sent_s)
+            self._note_leader_record(records, first_sent_s)
             return True
         return False
--- a/libs/coordination/src/catkinknot/coordination/_reports.py
+++ b/libs/coordination/src/catkinknot/coordination/_reports.py
@@ -91,8 +91,8 @@
     """End the runs that a server lists neither as running nor as ended."""
     running = {row.task: row.run for row in answer.running}
     for run in list(view.runs.values()):
-        resolved = run.start_resolved_s is not None and run.start_resolved_s < sent_s
-        if resolved and running.get(run.task) != run.run:
+        settled = run.settled_s is not None and run.settled_s < sent_s
+        if settled and running.get(run.task) != run.run:
             cluster.end_run(view, run, RunOutcome.LOST, run.checkpoint)
 
 
--- a/libs/coordination/src/catkinknot/coordination/_servers.py
+++ b/libs/coordination/src/catkinknot/coordination/_servers.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, replace
 from enum import Enum
+from math import inf
 from typing import Protocol
 
 from catkinknot.jobs import Resources, RunOutcome
@@ -93,6 +94,7 @@
     NO_TICKET = "no ticket"
     UNHEALTHY = "unhealthy"
     OTHER_LIFETIME = "other lifetime"
+    EXPIRED = "expired, not sent"
     INVALID = "invalid"
     NO_ANSWER = "no answer"
 
@@ -123,6 +125,7 @@
         until_ms: End of the lease, on the server's clock.
         token: Fencing token: the epoch of the leader.
         checkpoint: Checkpoint to resume from, empty for none.
+        send_by_s: When the order must have been sent, on this instance's clock.
     """
 
     task: str
@@ -131,6 +134,7 @@
     until_ms: int
     token: int
     checkpoint: str = ""
+    send_by_s: float = inf
 
 
 @dataclass(frozen=True, slots=True)
@@ -194,7 +198,7 @@
     """Client for backend servers; no method raises when a server fails."""
 
     def start(self, server: Listing, order: StartOrder) -> OrderReply:
-        """Send an order to start a task."""
+        """Send an order to start a task; one that has expired is not sent."""
 
     def stop(self, server: Listing, order: StopOrder) -> OrderReply:
         """Send an order to stop a run."""
--- a/libs/coordination/src/catkinknot/coordination/_views.py
+++ b/libs/coordination/src/catkinknot/coordination/_views.py
@@ -48,8 +48,10 @@
         run: Number of the run.
         assigned_s: When the task was assigned to the server.
         start_resolved_s: When the start was resolved: the run is known to have
-            started, or no order can start it any more. None while a start
-            order may be in flight.
+            started, or no order of this leader can start it any more. None while
+            a start order may be in flight.
+        inherited_until_s: When no start order of an earlier leader can be sent any
+            more, None if this leader assigned the run.
         sent: Whether a start order may have been sent.
         confirmed: Whether this lifetime of the server has shown the run. An answer
             that doesn't name its lifetime may come from the next one.
@@ -69,6 +71,7 @@
     run: int
     assigned_s: float
     start_resolved_s: float | None = None
+    inherited_until_s: float | None = None
     sent: bool = False
     confirmed: bool = False
     stopping: bool = False
@@ -84,6 +87,18 @@
         """Whether the run may be in the server's next lifetime instead."""
         return self.sent and not self.confirmed
 
+    @property
+    def settled_s(self) -> float | None:
+        """When no order of any leader can start the run any more, None if one still may."""
+        if self.inherited_until_s is None:
+            return self.start_resolved_s
+        return max(self.inherited_until_s, self.start_resolved_s or self.inherited_until_s)
+
+    def may_start_in_next_lifetime(self, now_s: float) -> bool:
+        """Return whether a start order may have reached the next lifetime, or may yet do so."""
+        inherited = self.inherited_until_s is not None and now_s < self.inherited_until_s
+        return self.unproven or self.doubtful or inherited
+
 
 @dataclass(slots=True)
 class ServerView:
--- a/libs/coordination/src/catkinknot/coordination/_watch.py
+++ b/libs/coordination/src/catkinknot/coordination/_watch.py
@@ -76,7 +76,7 @@
                 if not needs_watch(view):
                     view.watched = False
                     return
-                wait_s = _wait_s(view)
+                wait_s = _wait_s(view, self._clock.now())
             answer = self.hold(view, wait_s)
             if answer.reply.outcome is not OrderOutcome.DONE:
                 stopped.wait(RETRY_S if view.runs else IDLE_RETRY_S)
@@ -150,9 +150,16 @@
     return bool(view.runs or unresponsive or view.acknowledgeable_end > view.seen_end)
 
 
-def _wait_s(view: ServerView) -> float:
+def _wait_s(view: ServerView, now_s: float) -> float:
     """Return how long the server may wait for an end before it answers."""
     if view.acknowledgeable_end > view.seen_end or view.unresponsive_since_s is not None:
         return 0.0
-    unresolved = any(run.start_resolved_s is None or run.stopping for run in view.runs.values())
-    return SHORT_WAIT_S if unresolved else LONG_WAIT_S
+    unresolved = [run for run in view.runs.values() if run.start_resolved_s is None or run.stopping]
+    if not unresolved:
+        return LONG_WAIT_S
+    settled_in_s = (
+        max(0.0, run.inherited_until_s - now_s)
+        for run in unresolved
+        if run.start_resolved_s is None and run.inherited_until_s is not None
+    )
+    return min([SHORT_WAIT_S, *settled_in_s])
--- a/libs/coordination/tests/test_orders.py
+++ b/libs/coordination/tests/test_orders.py
@@ -4,13 +4,18 @@
 
 from stepping import CAPACITY, MAX_LEASE_S, Base, Instance, job, run_for, step
 
+from catkinknot.coordination import JOBS, RUNS
+from catkinknot.coordination._orders import START_VALIDITY_S
 from catkinknot.coordination._reconcile import STOP_RESEND_S
 from catkinknot.coordination._watch import needs_watch
+from catkinknot.coordination.exceptions import StoreSilentError
 from catkinknot.jobs import JobPhase, RunOutcome
 
 STOP_S = 0.2
 """A server takes this long to stop a run."""
 
+FREEZE_S = 4.0
+
 JOB = "b" * 16
 TASK = f"{JOB}.0.0.0"
 
@@ -192,5 +197,191 @@
         self.assertEqual(len(self.env.running()), 16)
 
 
+class TestSupersededLeader(Base):
+    """Starts of a leader that was frozen, or has a successor that it has not noticed.
+
+    `run_for` fails on a task that runs twice at the same time. Guards against
+    a start that its successor takes for lost, and that a server executes which has
+    restarted since and knows no fencing token (review 6).
+    """
+
+    work_s = 8.5
+
+    def hold_up(self, meanwhile) -> None:
+        """Call a function between the record of the next run and the answer to its append."""
+        append = self.first.store.append
+
+        def append_and_hold(topic, records, **conditions) -> int:
+            offset = append(topic, records, **conditions)
+            if topic == RUNS:
+                self.first.store.append = append
+                meanwhile()
+            return offset
+
+        self.first.store.append = append_and_hold
+
+    def restart(self, name: str) -> None:
+        """Let a server crash and start again; it gets no new work."""
+        self.env.servers.add(name, CAPACITY, work_s=self.work_s)
+        self.env.servers.drain(name, 60_000)
+
+    def replace_leader_and_server(self) -> None:
+        """Let another leader start the task elsewhere, then restart the server of its record."""
+        name = self.assigned_server()
+        self.env.servers.drain(name, 60_000)
+        self.second.lead()
+        run_for(self.env, [self.second], FREEZE_S)
+        self.restart(name)
+
+    def starts(self) -> list[tuple[str, int]]:
+        """Return the server and the run of each start of the task, in order."""
+        found = [
+            (when_s, server.listing.id, run)
+            for server in self.env.servers.all()
+            for when_s, task, run in server.starts
+            if task == TASK
+        ]
+        return [(name, run) for _, name, run in sorted(found)]
+
+    def assigned_server(self) -> str:
+        """Return the server that the record of the task names."""
+        (state,) = self.first.cluster.jobs[JOB].steps.values()
+        return state.tasks[0].server.partition("@")[0]
+
+    def assert_completes(self) -> None:
+        """Check that the successor completes the job."""
+        run_for(self.env, [self.first, self.second], 2 * MAX_LEASE_S)
+        self.assertEqual(self.second.phase(JOB), JobPhase.COMPLETED)
+
+    def test_freeze_before_the_start(self) -> None:
+        """A leader that wakes after its successor has begun sends no start."""
+
+        def freeze() -> None:
+            self.replace_leader_and_server()
+            self.assertEqual([run for _, run in self.starts()], [2])
+
+        self.submit(job(JOB))
+        self.hold_up(freeze)
+        self.run_for(1.0)
+        self.assertEqual([run for _, run in self.starts()], [2])
+        self.assertTrue(self.first.leader is None or self.first.leader.deposed)
+        self.assert_completes()
+
+    def test_freeze_between_two_attempts(self) -> None:
+        """A start that got no answer is not repeated by a leader that has a successor."""
+        pause = self.first.leader._orders._stopped.wait
+        for server in self.env.servers.by_id.values():
+            server.faults.drop_requests = True
+
+        def freeze(timeout: float | None = None) -> bool:
+            self.first.leader._orders._stopped.wait = pause
+            for server in self.env.servers.by_id.values():
+                server.faults.drop_requests = False
+            self.replace_leader_and_server()
+            return pause(timeout)
+
+        self.first.leader._orders._stopped.wait = freeze
+        self.submit(job(JOB))
+        self.run_for(1.0)
+        self.assertEqual([run for _, run in self.starts()], [2])
+        self.assert_completes()
+
+    def test_restart_while_the_start_may_be_sent(self) -> None:
+        """The successor waits until the start of a recorded run can't be sent any more."""
+
+        def delay() -> None:
+            name = self.assigned_server()
+            self.second.lead()
+            run_for(self.env, [self.second], START_VALIDITY_S / 2)
+            self.restart(name)
+
+        self.submit(job(JOB))
+        self.hold_up(delay)
+        self.run_for(START_VALIDITY_S)
+        self.assertEqual([run for _, run in self.starts()], [1, 2])
+        self.assert_completes()
+
+    def test_restart_of_a_server_that_showed_the_run(self) -> None:
+        """A start that is repeated reaches no server whose run the successor has replaced."""
+        self.submit(job(JOB))
+        self.run_for(0.2)
+        (name, _) = self.starts()[0]
+        self.second.lead()
+        run_for(self.env, [self.second], 0.2)
+        view = self.first.cluster.servers[self.env.servers.by_id[name].listing.lifetime]
+        run = view.runs[TASK]
+        self.restart(name)
+        self.first.leader._orders.start(self.first.cluster, view, run)
+        self.run_for(0.5)
+        self.assertEqual([run for _, run in self.starts()][:2], [1, 1])
+        self.assert_completes()
+
+    def test_unsent_start_of_a_lost_leader(self) -> None:
+        """A recorded run that was never sent is replaced once the wait is over."""
+
+        def lose() -> None:
+            self.first.leader.depose()
+            self.second.lead()
+
+        self.submit(job(JOB))
+        self.hold_up(lose)
+        run_for(self.env, [self.first, self.second], START_VALIDITY_S + 0.5)
+        self.assertEqual([run for _, run in self.starts()], [2])
+        self.assert_completes()
+
+    def test_resigned_leader_sends_no_start(self) -> None:
+        """A leader that resigns starts nothing more, and its successor need not wait."""
+
+        def resign() -> None:
+            self.first.leader.resign()
+            self.first._flush()
+            self.second.tail.catch_up()
+            self.second.lead()
+
+        self.run_for(0.5)
+        self.submit(job(JOB))
+        self.hold_up(resign)
+        self.run_for(0.5)
+        self.assertEqual([run for _, run in self.starts()], [2])
+        self.assert_completes()
+
+    def test_repeated_leader_record(self) -> None:
+        """A leader record counts from its first attempt, which others may have read."""
+        self.run_for(0.5)
+        recorder, append = self.first.leader.recorder, self.first.store.append
+        sent_s = []
+
+        def lose_answer(topic, records, **conditions) -> int:
+            sent_s.append(self.env.clock.now())
+            append(topic, records, **conditions)
+            if len(sent_s) > 1:
+                return append(topic, records, **conditions)
+            self.env.clock.advance(0.6)
+            raise StoreSilentError("no answer")
+
+        self.first.store.append = lose_answer
+        recorder.after_renewal(lambda: None)
+        recorder.flush_topic(JOBS, self.first.not_stopped)
+        self.assertEqual(len(sent_s), 2)
+        self.assertEqual(recorder.renewed_s, sent_s[0])
+
+    def test_start_after_a_freeze_without_successor(self) -> None:
+        """A leader that was frozen sends its start once the store has confirmed that it leads."""
+        self.submit(job(JOB))
+        self.hold_up(lambda: self.env.clock.advance(FREEZE_S))
+        self.first.busy_topic = JOBS
+        self.run_for(0.3)
+        self.assertEqual(self.starts(), [])
+        self.first.busy_topic = ""
+        self.run_for(0.2)
+        self.assertEqual([run for _, run in self.starts()], [1])
+        self.assert_first_completes()
+
+    def assert_first_completes(self) -> None:
+        """Check that the first leader completes the job."""
+        self.run_for(2 * MAX_LEASE_S)
+        self.assertEqual(self.first.phase(JOB), JobPhase.COMPLETED)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/libs/model/src/catkinknot/model/_clock.py
+++ b/libs/model/src/catkinknot/model/_clock.py
@@ -11,7 +11,7 @@
     """Source of time and of waits."""
 
     def now(self) -> float:
-        """Return the seconds of a monotonic clock."""
+        """Return the seconds of a monotonic clock that counts the time of a suspension."""
 
     def wall(self) -> float:
         """Return the seconds since 1970 by this machine's clock."""
@@ -24,8 +24,8 @@
     """Clock of this machine."""
 
     def now(self) -> float:
-        """Return the seconds of the monotonic clock."""
-        return time.monotonic()
+        """Return the seconds of the clock that goes on while the machine is suspended."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
 
     def wall(self) -> float:
         """Return the seconds since 1970."""
--- a/standins/src/catkinknot_standins/_task_server.py
+++ b/standins/src/catkinknot_standins/_task_server.py
@@ -293,7 +293,9 @@
         }
 
     def start(self, server: Listing, order: StartOrder) -> OrderReply:
-        """Start a task."""
+        """Start a task, unless the order has expired."""
+        if self._clock.now() > order.send_by_s:
+            return OrderReply(OrderOutcome.EXPIRED)
         return self._deliver(server, order)
 
     def stop(self, server: Listing, order: StopOrder) -> OrderReply:
--- a/standins/src/catkinknot_standins/lab/_day.py
+++ b/standins/src/catkinknot_standins/lab/_day.py
@@ -47,6 +47,7 @@
         stop_run=lambda view, run, reason: fleet.stop(cluster, view, run),
         fence_s=START_S,
         max_lease_s=0.0,
+        inherited_until_s=START_S,
     )
     cluster.apply_listing(fleet.listings())
     planner = Planner(
