Store the cancel of an unknown job before it is answered

Cause: an instance that does not know a job left nothing in the ledger, so a submit that was still under way counted as a new job; and a registry skipped a cancel whose record comes before that of its job. A late append of the job did the same.

Ruled out: the submit's deadline, which the woken instance counts from when it reads the call; a late append has no deadline, and a refusal there would leave that path.

Change: the cancel is stored, then 410 is answered; if it can't be stored the answer is 504.

--- a/libs/coordination/src/catkinknot/coordination/_job_service.py
+++ b/libs/coordination/src/catkinknot/coordination/_job_service.py
@@ -209,27 +209,35 @@
         return Answer(Verdict.SHOWN, phase=entry.reported_phase)
 
     def cancel(self, job_id: str, deadline_s: float) -> Answer:
-        """Cancel a job.
+        """Cancel a job; one that is unknown never runs if its submit is still under way.
 
         Args:
             job_id: Identity of the job.
             deadline_s: When the caller stops waiting.
         """
+        done = Verdict.CANCELLED
         if self._registry.get(job_id) is None:
             known = self._refresh(job_id, deadline_s)
-            if known is not Verdict.SHOWN:
+            if known is Verdict.UNSURE:
                 return Answer(known, retry_after_s=RETRY_AFTER_S)
-        entry = self._registry.get(job_id)
-        if entry.cancelled or entry.phase.final:
-            return Answer(Verdict.CANCELLED)
+            if known is Verdict.UNKNOWN_JOB:
+                done = known
+        if self._is_ended_or_cancelled(job_id):
+            return Answer(done)
         if self._clock.now() >= deadline_s:
             self._say(job_id, "A cancel was answered.", Verdict.UNSURE, reason=NO_TIME_LEFT)
             return Answer(Verdict.UNSURE, retry_after_s=RETRY_AFTER_S)
-        verdict, reason = self._append(Record(job_id + CANCEL_SUFFIX, b"1"), deadline_s)
-        self._say(job_id, "A cancel was answered.", verdict, reason=reason)
-        if verdict is Verdict.ACCEPTED:
-            return Answer(Verdict.CANCELLED)
-        return Answer(Verdict.UNSURE, retry_after_s=RETRY_AFTER_S)
+        stored, reason = self._append(Record(job_id + CANCEL_SUFFIX, b"1"), deadline_s)
+        verdict = done if stored is Verdict.ACCEPTED else Verdict.UNSURE
+        self._say(job_id, "A cancel was answered.", verdict, stored=stored.value, reason=reason)
+        return Answer(verdict, retry_after_s=0 if verdict is done else RETRY_AFTER_S)
+
+    def _is_ended_or_cancelled(self, job_id: str) -> bool:
+        """Return whether a job has ended, or the ledger holds a cancel of it."""
+        entry = self._registry.get(job_id)
+        if entry is None:
+            return self._registry.is_cancelled_early(job_id)
+        return entry.cancelled or entry.phase.final
 
     def count(self, queue: Queue) -> Answer:
         """Count the jobs of a queue that have not begun."""
--- a/libs/coordination/src/catkinknot/coordination/_leader.py
+++ b/libs/coordination/src/catkinknot/coordination/_leader.py
@@ -144,6 +144,7 @@
             clock=clock,
             config=config,
             start=self._start_runs,
+            early_cancels=registry.early_cancels,
         )
         self._threads: list[threading.Thread] = []
 
--- a/libs/coordination/src/catkinknot/coordination/_planner.py
+++ b/libs/coordination/src/catkinknot/coordination/_planner.py
@@ -22,6 +22,7 @@
 
 from ._cluster_state import ACCELERATOR_CORES, ClusterState
 from ._drain import evict_from_draining
+from ._early_cancels import EarlyCancelPurger
 from ._reconcile import purge_ended_jobs, resend_stops, stop_stalled
 from ._recorder import Recorder
 from ._views import JobView, RunView, ServerView
@@ -80,6 +81,7 @@
         clock: Clock,
         config: Callable[[], Configuration | None],
         start: Callable[[list[tuple[ServerView, RunView]]], None],
+        early_cancels: Callable[[], frozenset[str]] = frozenset,
     ) -> None:
         """Create a planner.
 
@@ -89,12 +91,14 @@
             clock: Source of time.
             config: Returns the configuration in force.
             start: Starts runs once their record is in the store.
+            early_cancels: Returns the ids of the cancelled jobs that the ledger does not hold.
         """
         self._cluster = cluster
         self._recorder = recorder
         self._clock = clock
         self._config = config
         self._start = start
+        self._early_cancels = EarlyCancelPurger(early_cancels, recorder=recorder, clock=clock)
         self._pending_reservations: dict[StepKey, _Reservation] = {}
         self._demand: dict[str, Demand] = {}
         self._logged: set[StepKey] = set()
@@ -110,6 +114,7 @@
             stop_stalled(cluster, self._clock)
             evict_from_draining(cluster, self._clock)
             purge_ended_jobs(cluster, self._recorder, self._clock)
+            self._early_cancels.purge()
             cluster.refresh_capacity()
             guaranteed_ids = self._guaranteed_job_ids()
             self._mark_guaranteed(guaranteed_ids)
--- a/libs/coordination/tests/test_job_service.py
+++ b/libs/coordination/tests/test_job_service.py
@@ -2,11 +2,12 @@
 
 import unittest
 
-from stepping import STEP_S, Environment, Instance, job, run_for, step
+from stepping import STEP_S, Base, Environment, Instance, job, run_for, step
 
-from catkinknot.coordination import Answer, Tail, Verdict
-from catkinknot.coordination.exceptions import StoreSilentError
-from catkinknot.jobs import JobPhase
+from catkinknot.coordination import JOBS, Answer, Tail, Verdict
+from catkinknot.coordination._early_cancels import EARLY_CANCEL_RETENTION_S
+from catkinknot.coordination.exceptions import StoreRefusedError, StoreSilentError
+from catkinknot.jobs import CANCEL_SUFFIX, JobPhase
 from catkinknot_standins import StoreView
 
 ID = "a" * 16
@@ -243,5 +244,80 @@
         self.assertEqual(self.job_service.get_status(ID, DEADLINE_S).phase, JobPhase.COMPLETED)
 
 
+class TestEarlyCancels(Base):
+    """Jobs whose cancel is acknowledged before their own record is stored.
+
+    Guards against a submit that a frozen instance, or a late append, stores
+    after the caller was told that no such job exists (review 9).
+    """
+
+    def cancel(self, at: Instance | None = None) -> Verdict:
+        """Cancel the job, which no instance knows, through the follower or another one."""
+        deadline_s = self.env.clock.now() + 1.0
+        return (at or self.second).job_service.cancel(ID, deadline_s).verdict
+
+    def cancel_records(self) -> int:
+        """Return the number of cancel records in the history of the ledger."""
+        records = self.env.store.topic(JOBS).records
+        return sum(record.key == ID + CANCEL_SUFFIX and record.value != b"" for record in records)
+
+    def assert_never_runs(self, *instances: Instance) -> None:
+        """Check that no task of the job starts, and that it is shown as cancelled."""
+        run_for(self.env, [*instances] or [self.first, self.second], 5.0)
+        self.assertEqual([start for s in self.env.servers.all() for start in s.starts], [])
+        at = instances[-1] if instances else self.second
+        self.assertEqual(at.phase(ID), JobPhase.CANCELLED)
+
+    def test_submit_after_its_cancel(self) -> None:
+        """A job that arrives after its cancel was acknowledged never runs."""
+        self.assertEqual(self.cancel(), Verdict.UNKNOWN_JOB)
+        self.submit(job(ID), at=self.first)
+        self.assert_never_runs()
+
+    def test_late_append(self) -> None:
+        """The same where the store executes the append of the job late."""
+        self.second.store.faults.delay = 1
+        deadline_s = self.env.clock.now() + 0.1
+        self.second.job_service.submit(job(ID), deadline_s)
+        self.assertEqual(self.cancel(self.first), Verdict.UNKNOWN_JOB)
+        self.env.store.apply_delayed_appends()
+        self.assert_never_runs()
+
+    def test_next_leader(self) -> None:
+        """The same where the next leader has only a snapshot of the ledger."""
+        self.assertEqual(self.cancel(), Verdict.UNKNOWN_JOB)
+        self.env.store.compact_topics()
+        third = Instance(self.env, "third")
+        third.lead()
+        self.submit(job(ID), at=self.second)
+        self.assert_never_runs(third)
+
+    def test_repeated_cancel(self) -> None:
+        """A cancel that the ledger holds is acknowledged without another record."""
+        self.assertEqual(self.cancel(), Verdict.UNKNOWN_JOB)
+        self.assertEqual(self.cancel(), Verdict.UNKNOWN_JOB)
+        self.assertEqual(self.cancel(self.first), Verdict.UNKNOWN_JOB)
+        self.assertEqual(self.cancel_records(), 1)
+
+    def test_cancel_that_is_not_stored(self) -> None:
+        """No cancel is acknowledged that the store has not accepted."""
+
+        def refuse(*args, **kwargs) -> int:
+            raise StoreRefusedError("the store returned status 503")
+
+        self.second.store.append = refuse
+        self.assertEqual(self.cancel(), Verdict.UNSURE)
+
+    def test_record_is_purged(self) -> None:
+        """The record of a cancel whose job never came is deleted in the end."""
+        self.assertEqual(self.cancel(), Verdict.UNKNOWN_JOB)
+        self.run_for(2.0)
+        self.assertIn(ID + CANCEL_SUFFIX, self.env.store.topic(JOBS).newest)
+        self.env.clock.advance(EARLY_CANCEL_RETENTION_S)
+        self.run_for(1.0)
+        self.assertNotIn(ID + CANCEL_SUFFIX, self.env.store.topic(JOBS).newest)
+        self.assertEqual(self.second.registry.early_cancels(), frozenset())
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/libs/jobs/src/catkinknot/jobs/_registry.py
+++ b/libs/jobs/src/catkinknot/jobs/_registry.py
@@ -37,12 +37,17 @@
 
 
 class JobRegistry:
-    """Registry of jobs, updated from the records of the ledger."""
+    """Registry of jobs, updated from the records of the ledger.
+
+    A cancel may come before the record of its job, which another instance or the
+    store still holds up. It counts for the job whenever that comes.
+    """
 
     def __init__(self) -> None:
         """Create an empty registry."""
         self._lock = threading.Lock()
         self._entries: dict[str, JobEntry] = {}
+        self._early_cancels: set[str] = set()
         self._log = logger.bind(part="book")
 
     def apply(self, key: str, value: bytes) -> str | None:
@@ -69,6 +74,7 @@
             replacement.apply(key, records[key])
         with self._lock:
             self._entries = replacement._entries
+            self._early_cancels = replacement._early_cancels
 
     def get(self, job_id: str) -> JobEntry | None:
         """Return the entry of a job, or None."""
@@ -80,6 +86,16 @@
         with self._lock:
             return list(self._entries.values())
 
+    def early_cancels(self) -> frozenset[str]:
+        """Return the ids of the cancelled jobs that the ledger does not hold."""
+        with self._lock:
+            return frozenset(self._early_cancels)
+
+    def is_cancelled_early(self, job_id: str) -> bool:
+        """Return whether a job is cancelled that the ledger does not hold."""
+        with self._lock:
+            return job_id in self._early_cancels
+
     def count_waiting(self, queue: str) -> int:
         """Return the number of queued jobs of a queue."""
         return sum(
@@ -95,6 +111,8 @@
         entry = self._entries.get(job_id)
         if not slash:
             return self._apply_job(job_id, entry, value)
+        if entry is None and key.endswith(CANCEL_SUFFIX):
+            self._apply_early_cancel(job_id, value)
         if entry is None or not value:
             return None
         if key.endswith(CANCEL_SUFFIX):
@@ -108,7 +126,18 @@
         if not value:
             self._entries.pop(job_id, None)
         elif entry is None:
-            self._entries[job_id] = JobEntry(read_job(value))
+            cancelled = job_id in self._early_cancels
+            self._entries[job_id] = JobEntry(read_job(value), cancelled=cancelled)
+            self._early_cancels.discard(job_id)
+            if cancelled:
+                self._log.bind(job=job_id).info("A job came after its cancel, and never runs.")
         else:
             return None
         return job_id
+
+    def _apply_early_cancel(self, job_id: str, value: bytes) -> None:
+        """Apply the cancel of a job that the ledger does not hold, or its deletion."""
+        if value:
+            self._early_cancels.add(job_id)
+        else:
+            self._early_cancels.discard(job_id)
