Finish a job whose last failure was recorded by an earlier leader

Cause: the states of tasks and the phase of the job are records in two topics, so one may be stored without the other. The job failed only in the handling of a run's end; a leader that adopted the exhausted step withheld it from planning and never finished the job.

Ruled out: a lost record; the store had confirmed the last failure before the kill.

Change: what follows from a step's state is done in one place, for an end and for an adopted step. On the same path: the members of a gang that has lost one are stopped, and a job whose runs were recorded is shown as running.

--- a/libs/coordination/src/catkinknot/coordination/_cluster_state.py
+++ b/libs/coordination/src/catkinknot/coordination/_cluster_state.py
@@ -117,8 +117,22 @@
                 self._finish(view, JobPhase.CANCELLED, "cancelled by its caller")
             elif view.phase.final and recorded:
                 self._stop_remaining_runs(view)
+            else:
+                self._resume(view, recorded)
             self.changed.set()
 
+    def _resume(self, view: JobView, recorded: dict[StepKey, list[TaskState]]) -> None:
+        """Do what follows from the recorded states of a job's steps.
+
+        The earlier leader may have been lost before it could do so, as phases
+        are recorded apart from the states of steps.
+        """
+        begun = any(task.run for tasks in recorded.values() for task in tasks)
+        if begun and view.phase is JobPhase.QUEUED:
+            self._set_phase(view, JobPhase.RUNNING)
+        for key in recorded:
+            self._follow_up(view, view.steps[key])
+
     def remove_job(self, job_id: str) -> None:
         """Remove a job that the ledger no longer holds."""
         with self.lock:
@@ -402,7 +416,11 @@
             return
         state.end(run.index, how, checkpoint)
         self._record(state)
-        if state.step.gang and not state.done:
+        self._follow_up(job, state)
+
+    def _follow_up(self, job: JobView, state: StepState) -> None:
+        """Do what follows from the state of a step: stop its gang, or finish its job."""
+        if state.step.gang and state.waiting():
             self._stop_gang(state)
         if job.phase.final:
             return
@@ -423,8 +441,7 @@
             "A run that was declared lost had completed."
         )
         self._record(state)
-        if state.done and job.done:
-            self._finish(job, JobPhase.COMPLETED, "all its tasks are done")
+        self._follow_up(job, state)
 
     def _stop_gang(self, state: StepState) -> None:
         """Stop the remaining members of a gang that has lost a member."""
--- a/libs/coordination/tests/test_leader.py
+++ b/libs/coordination/tests/test_leader.py
@@ -18,7 +18,18 @@
 from catkinknot.coordination import JOBS, RUNS, Verdict
 from catkinknot.coordination._watch import needs_watch
 from catkinknot.coordination.exceptions import StoreRefusedError, StoreSilentError
-from catkinknot.jobs import JobPhase, Resources, RunOutcome
+from catkinknot.jobs import (
+    JobPhase,
+    Resources,
+    RunOutcome,
+    StepKey,
+    StepState,
+    TaskPhase,
+    read_step,
+    write_step,
+)
+
+JOB = "b" * 16
 
 
 class TestServing(Base):
@@ -582,6 +593,85 @@
         starts = [s for server in self.env.servers.all() for s in server.starts]
         self.assertEqual(len(starts), 4)
 
+    def lead_without_storing_phases(self, *jobs, seconds: float) -> None:
+        """Let the first leader store the runs of jobs but not their phases."""
+        self.run_for(0.2)
+        self.first.busy_topic = JOBS
+        self.submit(*jobs)
+        self.run_for(seconds)
+
+    def test_job_that_failed_at_the_end_of_a_leader(self) -> None:
+        """A job fails whose last failure was recorded, but not its phase.
+
+        Guards against a job that no leader ends and that can't go on (review 8).
+        """
+        for server in self.env.servers.all():
+            server.work_s, server.faults.fail_tasks = 0.1, True
+        others = step(1, after=(0,))
+        self.lead_without_storing_phases(job(JOB, step(), others), seconds=8.0)
+        self.second.lead()
+        run_for(self.env, [self.second], 1.0)
+        self.assertEqual(self.second.phase(JOB), JobPhase.FAILED)
+        self.assertEqual(sum(len(s.starts) for s in self.env.servers.all()), 3)
+
+    def test_failure_that_two_leaders_could_not_store(self) -> None:
+        """The same if the successor is lost before it has stored the phase."""
+        for server in self.env.servers.all():
+            server.work_s, server.faults.fail_tasks = 0.1, True
+        self.second.busy_topic = JOBS
+        self.lead_without_storing_phases(job(JOB), seconds=8.0)
+        self.second.lead()
+        run_for(self.env, [self.second], 1.0)
+        self.assertNotEqual(self.second.phase(JOB), JobPhase.FAILED)
+        third = Instance(self.env, "third")
+        third.lead()
+        run_for(self.env, [third], 1.0)
+        self.assertEqual(third.phase(JOB), JobPhase.FAILED)
+
+    def test_gang_that_failed_at_the_end_of_a_leader(self) -> None:
+        """The members that are still running are stopped, and the job fails."""
+        for server in self.env.servers.all():
+            server.work_s = 1e6
+        members = step(2, gpu=8, gang=True)
+        self.lead_without_storing_phases(job(JOB, members), seconds=0.5)
+        self.assertEqual(len(self.env.running()), 2)
+        self.fail_member(failures=3)
+        self.second.lead()
+        run_for(self.env, [self.second], 1.0)
+        self.assertEqual(self.second.phase(JOB), JobPhase.FAILED)
+        self.assertEqual(self.env.running(), {})
+
+    def test_gang_that_lost_a_member_at_the_end_of_a_leader(self) -> None:
+        """The members that are still running are stopped, and the gang starts again."""
+        for server in self.env.servers.all():
+            server.work_s = 1e6
+        members = step(2, gpu=8, gang=True)
+        self.lead_without_storing_phases(job(JOB, members), seconds=0.5)
+        self.fail_member(failures=1)
+        self.second.lead()
+        run_for(self.env, [self.second], 1.0)
+        self.assertEqual(set(self.env.running().values()), {2})
+
+    def fail_member(self, *, failures: int) -> None:
+        """Let the first member of the gang fail, and record only that."""
+        [server] = [s for s in self.env.servers.all() if f"{JOB}.0.0.0" in s.running()]
+        server.crash()
+        self.env.servers.add(server.listing.id, CAPACITY, work_s=1e6)
+        newest = self.env.store.topic(RUNS).newest
+        first, second = read_step(newest[f"{JOB}.0.0"], 2)
+        first.phase, first.server = TaskPhase.WAITING, ""
+        for task in (first, second):
+            task.failures, task.failed_run = failures, task.run
+        state = StepState(StepKey(JOB, 0, 0), step(2, gang=True), job(JOB), [first, second])
+        newest[f"{JOB}.0.0"] = write_step(state)
+
+    def test_phase_of_a_job_that_began_at_the_end_of_a_leader(self) -> None:
+        """A job whose runs were recorded, but not its phase, is shown as running."""
+        self.lead_without_storing_phases(job(JOB), seconds=0.5)
+        self.second.lead()
+        run_for(self.env, [self.second], 0.5)
+        self.assertEqual(self.second.phase(JOB), JobPhase.RUNNING)
+
     def test_waiting_jobs_keep_their_order(self) -> None:
         """After a change of leader, the job that was accepted first gets the next server.
 
