Read the jobs again once a claim has fenced the topic of runs

Cause: if the fence of the topic of runs has to be repeated, the old leader may meanwhile start a job that was accepted after the claim. The successor left out the recorded run of the job that it did not know, and started the job when it read it.

Change: the successor reads the jobs to their end after the fence; both calls are repeated for as long as the claim holds.

Evidence: test_job_started_during_a_claim_is_known failed before ("runs twice").

--- a/libs/coordination/src/catkinknot/coordination/_election.py
+++ b/libs/coordination/src/catkinknot/coordination/_election.py
@@ -12,8 +12,8 @@
 
 from ._leader import Claim, Leader, lead
 from ._orders import START_VALIDITY_S
-from ._recorder import LEAD_KEY, PRODUCER, make_leader_record
-from ._store import JOBS, RUNS, Fence, Record, Store
+from ._recorder import PRODUCER, make_leader_record
+from ._store import JOBS, RUNS, Fence, Store
 from ._tail import Tail
 from .exceptions import StoreError, StoreRefusedError, StoreSilentError
 
@@ -37,8 +37,8 @@
 RETURN_GRACE_S = 1.2
 """Time that a leader gets to renew its record after the store has been silent."""
 
-FENCE_RETRY_S = 0.1
-"""Pause before a claimed epoch is announced to the topic of runs again."""
+CLAIM_RETRY_S = 0.1
+"""Pause before a call that completes a claim is repeated."""
 
 SUCCESSION_STEP_S = 0.1
 """Time by which each rank claims after the one before, enough to read an earlier claim."""
@@ -228,26 +228,29 @@
         if self._nonce != nonce:
             return None
         runs_number = secrets.randbelow(MAX_FIRST_NUMBER)
-        self._fence_runs(Fence(PRODUCER, epoch, runs_number), leader_record.value)
+        fence = Fence(PRODUCER, epoch, runs_number)
+        end_s = self._clock.now() + ELECTION_TIMEOUT_S
+        self._repeat(lambda: self._store.append(RUNS, [leader_record], fence=fence), end_s)
+        # Until then the earlier leader may have started jobs that are not read yet.
+        self._repeat(self._tail.catch_up, end_s)
         self._log.bind(epoch=epoch).info("This instance has claimed the leadership.")
         numbers = {JOBS: number + 1, RUNS: runs_number + 1}
         return Claim(epoch, nonce, sent_s, numbers, inherited_until_s)
 
-    def _fence_runs(self, fence: Fence, value: bytes) -> None:
-        """Fence earlier leaders in the topic of runs; raises a `StoreError`.
+    def _repeat(self, call: Callable[[], object], end_s: float) -> None:
+        """Make a call to the store until it succeeds; raises a `StoreError` at the end.
 
-        The epoch has been claimed, so nobody else leads until this is done or
+        The epoch has been claimed, so nobody else leads until the calls are done or
         the claim has timed out.
         """
-        end_s = self._clock.now() + ELECTION_TIMEOUT_S
         while True:
             try:
-                self._store.append(RUNS, [Record(LEAD_KEY, value)], fence=fence)
+                call()
                 return
             except (StoreRefusedError, StoreSilentError):
-                if self._clock.now() + FENCE_RETRY_S >= end_s:
+                if self._clock.now() + CLAIM_RETRY_S >= end_s:
                     raise
-            self._clock.sleep(FENCE_RETRY_S)
+            self._clock.sleep(CLAIM_RETRY_S)
 
     def _lead(self, claim: Claim, stopped: threading.Event) -> None:
         """Lead until deposed or stopped."""
--- a/libs/coordination/tests/test_leader.py
+++ b/libs/coordination/tests/test_leader.py
@@ -720,6 +720,37 @@
         self.second.election._lead(claim, stopped)
         self.assertIn("b" * 16, leader.cluster.jobs)
 
+    def test_job_started_during_a_claim_is_known(self) -> None:
+        """A job that the predecessor started after the claim is not started again.
+
+        Guards against a successor that reads the records of runs before the jobs
+        that were accepted until its predecessor was fenced, and takes these jobs for
+        new ones.
+        """
+        self.second.tail.catch_up()
+        self.second.election._vacant_at_s = float("-inf")
+        append, attempts = self.second.store.append, []
+
+        def append_later(topic, records, **conditions) -> int:
+            if topic == RUNS:
+                attempts.append(topic)
+                if len(attempts) == 1:
+                    raise StoreSilentError("busy")
+                self.submit(job(JOB), at=self.first)
+                self.first.tail.catch_up()
+                self.first.leader._planner.plan()
+                self.first.leader.recorder.flush_topic(RUNS, self.first.not_stopped)
+            return append(topic, records, **conditions)
+
+        self.second.store.append = append_later
+        claim = self.second.election._claim()
+        [server] = [s for s in self.env.servers.all() if s.running()]
+        self.env.servers.drain(server.listing.id, 60_000)
+        self.second.take_over(claim)
+        run_for(self.env, [self.second], 4.0)
+        self.assertEqual(self.second.phase(JOB), JobPhase.COMPLETED)
+        self.assertEqual(sum(len(s.starts) for s in self.env.servers.all()), 1)
+
     def test_old_leader_record_does_not_delay_the_election(self) -> None:
         """After all instances were lost, the first one to return leads within a second.
 
