--- a/standins/src/catkinknot_standins/soak/_callers.py
+++ b/standins/src/catkinknot_standins/soak/_callers.py
@@ -22,6 +22,11 @@
 
 MAX_ATTEMPT_COUNT = 5
 CANCEL_SHARE = 0.1
+GIVE_UP_SHARE = 0.15
+
+GIVE_UP_S = 0.4
+"""Time after which an impatient caller leaves, and cancels its job elsewhere."""
+
 LATE_REPEAT_SHARE = 0.1
 
 
@@ -37,6 +42,8 @@
         accepted_s: Time at which the job was first accepted, None if it never was.
         cancel_asked: Whether the caller asked to cancel the job.
         cancel_confirmed_at_s: Time at which a cancel was confirmed, None if it never was.
+        cancelled_unknown: Whether the cancel was confirmed with the answer that no such job
+            exists.
         shown: Last state that an instance reported.
     """
 
@@ -47,6 +54,7 @@
     accepted_s: float | None = None
     cancel_asked: bool = False
     cancel_confirmed_at_s: float | None = None
+    cancelled_unknown: bool = False
     shown: str = ""
 
     @property
@@ -91,10 +99,14 @@
             pause_s: Mean pause between two jobs.
         """
         rng = random.Random(f"{self._seed}-{number}")
+        moods = random.Random(f"{self._seed}-{number}-moods")
         while not stopped.wait(rng.uniform(0, 2 * pause_s)):
             job = self._draw_job(rng)
             with self._lock:
                 self.jobs.append(job)
+            if moods.random() < GIVE_UP_SHARE:
+                self._submit_impatiently(job)
+                continue
             self._submit(job, repeats=rng.random() < LATE_REPEAT_SHARE)
             if job.accepted_s and rng.random() < CANCEL_SHARE:
                 self._cancel(job)
@@ -122,6 +134,17 @@
             done = done and job.shown in ("completed", "cancelled")
         return done
 
+    def check_unknown_cancels(self) -> None:
+        """Record each job that lives on although its cancel was answered as unknown."""
+        for job in self.jobs:
+            if not job.cancelled_unknown:
+                continue
+            status, body = self.call("GET", job.path)
+            if status == 200 and body.get("state") != "cancelled":
+                self.faults.append(
+                    f"UNASKED: {job.id} is {body.get('state')}, its cancel was confirmed with 410"
+                )
+
     def call(
         self,
         method: str,
@@ -129,6 +152,7 @@
         *,
         body: dict | None = None,
         instance: Instance | None = None,
+        timeout_s: float = CALL_TIMEOUT_S,
     ) -> tuple[int, dict]:
         """Call an instance, by default a random one; return the status and the body.
 
@@ -143,9 +167,7 @@
         url = f"http://{chosen.callers.address}{path}"
         raw = json.dumps(body).encode() if body is not None else None
         try:
-            reply = self._pool.request(
-                method, url, body=raw, headers=headers, timeout=CALL_TIMEOUT_S
-            )
+            reply = self._pool.request(method, url, body=raw, headers=headers, timeout=timeout_s)
             return reply.status, json.loads(reply.data or b"{}")
         except (urllib3.exceptions.HTTPError, ValueError):
             return 0, {}
@@ -182,6 +204,16 @@
                 return
             time.sleep(RETRY_PAUSE_S)
 
+    def _submit_impatiently(self, job: SubmittedJob) -> None:
+        """Submit a job once, and cancel it if there is no answer soon."""
+        body = {"spec": "soak", "steps": job.steps}
+        status, _ = self.call("POST", job.path, body=body, timeout_s=GIVE_UP_S)
+        job.answers.append(status)
+        if status == 200:
+            job.accepted_s = time.monotonic()
+        elif status == 0:
+            self._cancel(job)
+
     def _cancel(self, job: SubmittedJob) -> None:
         """Cancel a job, retrying until the cancel is confirmed or the attempts are used up."""
         job.cancel_asked = True
@@ -189,5 +221,6 @@
             status, _ = self.call("DELETE", job.path)
             if status in (200, 410):
                 job.cancel_confirmed_at_s = time.monotonic()
+                job.cancelled_unknown = status == 410
                 return
             time.sleep(RETRY_PAUSE_S)
--- a/standins/src/catkinknot_standins/soak/_run.py
+++ b/standins/src/catkinknot_standins/soak/_run.py
@@ -182,6 +182,7 @@
         for job in jobs:
             if job.accepted_s and job.shown == "cancelled" and not job.cancel_asked:
                 result.faults.append(f"LOST: {job.id} is cancelled, its caller did not cancel it")
+        self.callers.check_unknown_cancels()
         result.faults += self.callers.faults + check_history(jobs, lifetimes)
 
     def _spawn(self, target, *args: object) -> None:
