--- a/libs/coordination/src/catkinknot/coordination/_cluster_state.py
+++ b/libs/coordination/src/catkinknot/coordination/_cluster_state.py
@@ -21,16 +21,13 @@
 from catkinknot.model import Clock
 from catkinknot.packing import Occupant, ServerCapacity
 
+from ._capacity import CapacityUpdater
 from ._recorder import Recorder
 from ._servers import Listing
 from ._store import JOBS, RUNS
 from ._views import CLOCK_DRIFT, LEASE_MARGIN_S, JobView, RunView, ServerView
-from ._zones import SuspectZones
 
-__all__ = ["ACCELERATOR_CORES", "QUARANTINE_S", "ClusterState"]
-
-ACCELERATOR_CORES = 8
-"""Number of cores that one accelerator counts as in sums of work."""
+__all__ = ["QUARANTINE_S", "ClusterState"]
 
 REFUSED_START_DELAY_S = 0.3
 """Delay before a step is placed again after a server refused to start one of its tasks."""
@@ -38,12 +35,6 @@
 QUARANTINE_S = 6.0
 """Time for which a server that fails many jobs gets no new work."""
 
-RESUME_COST_S = 0.5
-"""Time of its server that a run loses if it saves a checkpoint when stopped, and resumes."""
-
-MAX_UNACKNOWLEDGED_END_COUNT = 400
-"""Unacknowledged ends above which a server gets no new work; one answer lists 500 at most."""
-
 
 class ClusterState:
     """All jobs, servers and runs known to the leader; methods acquire the lock themselves.
@@ -95,7 +86,7 @@
         self.servers: dict[str, ServerView] = {}
         self._expired_lifetimes: set[str] = set()
         self._replaced_lifetimes: set[str] = set()
-        self._zones = SuspectZones()
+        self._capacity = CapacityUpdater()
 
     # Jobs
 
@@ -243,36 +234,7 @@
     def refresh_capacity(self) -> None:
         """Update which servers may get new work, and the cost of stopping each run."""
         with self.lock:
-            now_s = self.clock.now()
-            suspect_zones = self._zones.update(self.servers.values())
-            for view in self.servers.values():
-                listing = view.listing
-                usable = bool(
-                    view.listed
-                    and listing is not None
-                    and not listing.draining
-                    and listing.zone not in suspect_zones
-                    and view.clock is not None
-                    and view.unresponsive_since_s is None
-                    and not view.lease_expired
-                    and now_s >= view.unhealthy_until_s
-                    and view.read_end - view.seen_end <= MAX_UNACKNOWLEDGED_END_COUNT
-                )
-                quarantined = now_s < view.quarantined_until_s
-                view.room.schedulable = usable and not quarantined
-                view.room.quarantined = usable and quarantined
-                for task, occupant in view.room.occupants.items():
-                    run = view.runs[task]
-                    cores = (
-                        occupant.need.cpu_milli / 1000
-                        + occupant.need.accelerators * ACCELERATOR_CORES
-                    )
-                    lost_s = now_s - run.assigned_s
-                    if occupant.resumable:
-                        lost_s = min(lost_s, RESUME_COST_S)
-                    occupant.unsaved_core_s = cores * max(0.0, lost_s)
-                    if run.stopping:
-                        occupant.pinned = True
+            self._capacity.update(self.servers.values(), self.clock.now())
 
     def expire_leases(self) -> None:
         """End the runs of unresponsive servers whose leases have expired."""
--- a/libs/coordination/src/catkinknot/coordination/_planner.py
+++ b/libs/coordination/src/catkinknot/coordination/_planner.py
@@ -20,7 +20,8 @@
     select_headroom,
 )
 
-from ._cluster_state import ACCELERATOR_CORES, ClusterState
+from ._capacity import ACCELERATOR_CORES
+from ._cluster_state import ClusterState
 from ._drain import evict_from_draining
 from ._early_cancels import EarlyCancelPurger
 from ._reconcile import purge_ended_jobs, resend_stops, stop_stalled
