--- a/libs/coordination/tests/test_job_service.py
+++ b/libs/coordination/tests/test_job_service.py
@@ -275,12 +275,34 @@
         self.assert_never_runs()
 
     def test_late_append(self) -> None:
-        """The same where the store executes the append of the job late."""
-        self.second.store.faults.delay = 1
-        deadline_s = self.env.clock.now() + 0.1
-        self.second.job_service.submit(job(ID), deadline_s)
-        self.assertEqual(self.cancel(self.first), Verdict.UNKNOWN_JOB)
-        self.env.store.apply_delayed_appends()
+        """The same where the store executes the append of the job late.
+
+        The caller may cancel at the instance that still waits for its append.
+        """
+        for name in ("first", "second"):
+            with self.subTest(cancelled_at=name):
+                self.setUp()
+                self.second.store.faults.delay = 1
+                deadline_s = self.env.clock.now() + 0.1
+                self.second.job_service.submit(job(ID), deadline_s)
+                self.assertEqual(self.cancel(getattr(self, name)), Verdict.UNKNOWN_JOB)
+                self.env.store.apply_delayed_appends()
+                self.assert_never_runs()
+
+    def test_cancel_between_two_attempts_of_a_submit(self) -> None:
+        """A submit that is repeated after the cancel stores a job that never runs."""
+        append = self.second.store.append
+        cancelled: list[Verdict] = []
+
+        def lose_first(topic, records, **conditions) -> int:
+            if cancelled or records[0].key != ID:
+                return append(topic, records, **conditions)
+            cancelled.append(self.cancel())
+            raise StoreSilentError("no answer")
+
+        self.second.store.append = lose_first
+        self.submit(job(ID))
+        self.assertEqual(cancelled, [Verdict.UNKNOWN_JOB])
         self.assert_never_runs()
 
     def test_next_leader(self) -> None:
--- a/libs/coordination/tests/test_leader_histories.py
+++ b/libs/coordination/tests/test_leader_histories.py
@@ -41,7 +41,14 @@
 class History:
     """One random history."""
 
-    def __init__(self, seed: int, *, busy_topics: bool = False, slow: bool = False) -> None:
+    def __init__(
+        self,
+        seed: int,
+        *,
+        busy_topics: bool = False,
+        slow: bool = False,
+        early_cancels: bool = False,
+    ) -> None:
         """Create two instances, one of which leads.
 
         Args:
@@ -49,10 +56,13 @@
             busy_topics: Whether one topic of a leader may be busy for some time.
             slow: Whether the clocks of the servers are slow, their stops take time, and
                 their answers to orders don't name the lifetime that gave them.
+            early_cancels: Whether some jobs are cancelled before they are submitted.
         """
         self.slow = slow
         self.rng = random.Random(seed)
         self.busy_topics = busy_topics
+        self.early_cancels = early_cancels
+        self.cancelled_early: set[str] = set()
         self.env = Environment(SERVERS)
         self.instances = [Instance(self.env, "a"), Instance(self.env, "b")]
         for server in self.env.servers.all():
@@ -69,6 +79,8 @@
                 self.do_random_action()
             if self.busy_topics and self.rng.random() < 0.3:
                 self.rng.choice(self.instances).busy_topic = self.rng.choice((RUNS, JOBS, ""))
+            if self.early_cancels and self.rng.random() < 0.1:
+                self.cancel_early()
             run_for(self.env, self.instances, 0.1, check=self.check)
         self.clear_all_faults()
         run_for(self.env, self.instances, 2 * MAX_LEASE_S + 40.0, check=self.check)
@@ -120,6 +132,15 @@
         if answer.verdict.name == "CANCELLED":
             self.cancelled.setdefault(job_id, self.env.clock.now())
 
+    def cancel_early(self) -> None:
+        """Cancel the job that is submitted next."""
+        job_id = f"{len(self.submitted):016x}"
+        answer = self.rng.choice(self.instances).job_service.cancel(
+            job_id, self.env.clock.now() + 0.2
+        )
+        if answer.verdict.name in ("CANCELLED", "UNKNOWN_JOB"):
+            self.cancelled_early.add(job_id)
+
     def inject_server_fault(self) -> None:
         """Inject a random fault into a server."""
         server = self.rng.choice(list(self.env.servers.by_id.values()))
@@ -202,6 +223,8 @@
         done_at_s = self.acknowledged_ends()
         for server in self.env.servers.all():
             for started_s, task, run in server.starts:
+                if task.partition(".")[0] in self.cancelled_early:
+                    raise AssertionError(f"{task} was started, its job was cancelled before")
                 done_s = done_at_s.get(task)
                 if done_s is not None and started_s > done_s:
                     raise AssertionError(f"{task} was started after it was done")
@@ -292,6 +315,12 @@
         """
         History(172, slow=True).run()
 
+    def test_seeds_with_early_cancels(self) -> None:
+        """No job runs whose cancel was answered before the job was submitted."""
+        for seed in range(SEEDS):
+            with self.subTest(seed=seed):
+                History(seed, early_cancels=True).run()
+
     def test_seeds_with_busy_topics(self) -> None:
         """No history breaks an invariant while phases and runs are stored out of order."""
         for seed in range(SEEDS):
