Repeat no start whose run was seen, and write an expired cancel's deletion once

The age of the clock in its log line is taken before the call again. The deletion of a cancel whose job never came was queued, and logged, in each round until it was read back.

--- a/libs/coordination/src/catkinknot/coordination/_early_cancels.py
+++ b/libs/coordination/src/catkinknot/coordination/_early_cancels.py
@@ -1,6 +1,7 @@
 """Delete the records of cancels whose jobs never came."""
 
 from collections.abc import Callable
+from math import inf
 
 from loguru import logger
 
@@ -44,5 +45,6 @@
         self._seen_s = {job: self._seen_s.get(job, now_s) for job in self._early_cancels()}
         for job, seen_s in self._seen_s.items():
             if now_s - seen_s >= EARLY_CANCEL_RETENTION_S:
+                self._seen_s[job] = inf
                 self._log.bind(job=job).info("The cancel of a job that never came is deleted.")
                 self._recorder.put(JOBS, job + CANCEL_SUFFIX, b"")
--- a/libs/coordination/src/catkinknot/coordination/_job_service.py
+++ b/libs/coordination/src/catkinknot/coordination/_job_service.py
@@ -215,22 +215,22 @@
             job_id: Identity of the job.
             deadline_s: When the caller stops waiting.
         """
-        done = Verdict.CANCELLED
+        acknowledged = Verdict.CANCELLED
         if self._registry.get(job_id) is None:
             known = self._refresh(job_id, deadline_s)
             if known is Verdict.UNSURE:
                 return Answer(known, retry_after_s=RETRY_AFTER_S)
             if known is Verdict.UNKNOWN_JOB:
-                done = known
+                acknowledged = known
         if self._is_ended_or_cancelled(job_id):
-            return Answer(done)
+            return Answer(acknowledged)
         if self._clock.now() >= deadline_s:
             self._say(job_id, "A cancel was answered.", Verdict.UNSURE, reason=NO_TIME_LEFT)
             return Answer(Verdict.UNSURE, retry_after_s=RETRY_AFTER_S)
         stored, reason = self._append(Record(job_id + CANCEL_SUFFIX, b"1"), deadline_s)
-        verdict = done if stored is Verdict.ACCEPTED else Verdict.UNSURE
+        verdict = acknowledged if stored is Verdict.ACCEPTED else Verdict.UNSURE
         self._say(job_id, "A cancel was answered.", verdict, stored=stored.value, reason=reason)
-        return Answer(verdict, retry_after_s=0 if verdict is done else RETRY_AFTER_S)
+        return Answer(verdict, retry_after_s=0 if verdict is acknowledged else RETRY_AFTER_S)
 
     def _is_ended_or_cancelled(self, job_id: str) -> bool:
         """Return whether a job has ended, or the ledger holds a cancel of it."""
--- a/libs/coordination/src/catkinknot/coordination/_orders.py
+++ b/libs/coordination/src/catkinknot/coordination/_orders.py
@@ -115,13 +115,14 @@
             if order is None or self._stopped.is_set():
                 return
             now_s = self._clock.now()
+            clock_age_ms = view.clock_age_ms(now_s)
             reply = self._calls.start(view.listing, order)
             log = self._log.bind(
                 task=run.task,
                 run=run.run,
                 server=view.lifetime,
                 until_ms=order.until_ms,
-                clock_age_ms=view.clock_age_ms(now_s),
+                clock_age_ms=clock_age_ms,
                 valid_ms=int(max(0.0, order.send_by_s - now_s) * 1000),
             )
             if reply.outcome is OrderOutcome.EXPIRED:
@@ -148,7 +149,7 @@
     ) -> StartOrder | None:
         """Return the start order, or None if the run is no longer wanted."""
         with cluster.lock:
-            if view.runs.get(run.task) is not run or view.listing is None:
+            if view.runs.get(run.task) is not run or view.listing is None or run.confirmed:
                 return None
             if run.stopping and not run.doubtful:
                 cluster.end_unstarted(view, run, "it was stopped before its start order was sent")
